--- /dev/null
+++ b/cmd/plantainbank/cmds/control.go
@@ -0,0 +1,67 @@
+package cmds
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/plantainbank/plantainbank/pkg/process/control"
+	"github.com/plantainbank/plantainbank/pkg/process/disk"
+	"github.com/plantainbank/plantainbank/pkg/process/logs"
+	"github.com/plantainbank/plantainbank/pkg/process/metrics"
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
+)
+
+func controlCommand() command {
+	var file string
+	return command{
+		path: "control",
+		help: "Run a control process: a replica of the state, and on the leader the duties that must be unique.",
+		detail: "Runs until SIGTERM or SIGINT, then stops gracefully and exits 0. A second signal ends it at once. " +
+			"The data folder is created at the first start; an emptied one joins as a new replica.",
+		args: []argument{{"settings", "The settings file.", &file}},
+		run: func(*env) error {
+			cfg, err := settings.ReadControl(file)
+			if err != nil {
+				return err
+			}
+			return runControl(cfg)
+		},
+	}
+}
+
+func runControl(cfg settings.Control) error {
+	log := logs.New(cfg.Logs.Level, "control", cfg.Listen)
+	m := metrics.New("control")
+	defer m.Close()
+	if cfg.TLS.Off {
+		log.Warn("TLS between the own processes is off: use this on loopback only")
+	}
+	s, err := control.New(cfg, control.Options{Log: log, Scope: m.Scope, Page: m.Page,
+		Files: disk.RealFiles(), Timing: quorum.DefaultTiming()})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	log.WithField("data", cfg.Data).Info("started")
+	err = s.Run(signals())
+	log.Info("stopped")
+	return err
+}
+
+// signals returns a context that ends at the first SIGTERM or SIGINT. The
+// second signal ends the process.
+func signals() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := make(chan os.Signal, 2)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-c
+		cancel()
+		<-c
+		os.Exit(exitFailed)
+	}()
+	return ctx
+}
--- /dev/null
+++ b/cmd/plantainbank/cmds/record.go
@@ -0,0 +1,223 @@
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/plantainbank/plantainbank/pkg/connection/operator"
+	"github.com/plantainbank/plantainbank/pkg/version/record"
+	"github.com/plantainbank/plantainbank/pkg/version/strictjson"
+)
+
+// waitRound is the longest wait of one call for a revision to be in force.
+const waitRound = 10 * time.Second
+
+func recordPutCommand() command {
+	c := newClient()
+	var file, request string
+	replaces := -1
+	return command{
+		path: "record put",
+		help: "Submit the records of a file.",
+		detail: "The file holds one record or a list of them in JSON with comments. Without --replaces each record " +
+			"replaces the revision that stands now. Files with several records take no --request and no --replaces.",
+		args: []argument{{"file", "The file with the records.", &file}},
+		options: c.options(
+			option{name: "request", help: "Request number; the same number again gets the first answer.", text: &request},
+			option{name: "replaces", help: "Revision that the record replaces; 0 if none may stand.", number: &replaces}),
+		run: func(env *env) error { return putRecords(env, c, file, request, replaces) },
+	}
+}
+
+func putRecords(env *env, c *client, file, request string, replaces int) error {
+	records, err := readRecords(file)
+	if err != nil {
+		return err
+	}
+	if len(records) != 1 && (request != "" || replaces >= 0) {
+		return &UsageError{Problem: "--request and --replaces need a file with one record"}
+	}
+	for _, r := range records {
+		change := operator.Change{Request: request, Kind: r.Kind, Name: r.Name, Schema: r.Schema, Spec: r.Spec}
+		if change.Replaces, err = replaced(c, r.Kind, r.Name, replaces); err != nil {
+			return err
+		}
+		if err := c.submit(env, change); err != nil {
+			return fmt.Errorf("%s %s: %w", r.Kind, r.Name, err)
+		}
+	}
+	return nil
+}
+
+// readRecords reads and checks a file before anything is submitted.
+func readRecords(file string) ([]record.Record, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &UsageError{Problem: err.Error()}
+	}
+	var records []record.Record
+	if strictjson.DecodeCommented(data, &records) != nil {
+		var one record.Record
+		if err := strictjson.DecodeCommented(data, &one); err != nil {
+			return nil, fmt.Errorf("%s: %w", file, err)
+		}
+		records = []record.Record{one}
+	}
+	for i, r := range records {
+		if err := record.Check(r); err != nil {
+			return nil, fmt.Errorf("%s: record %d (%s %s): %w", file, i+1, r.Kind, r.Name, err)
+		}
+	}
+	return records, nil
+}
+
+// replaced returns the revision that a change is made from.
+func replaced(c *client, kind, name string, named int) (uint64, error) {
+	if named >= 0 {
+		return uint64(named), nil
+	}
+	r, err := findRecord(c, kind, name, 0)
+	var missing *missingRecordError
+	if errors.As(err, &missing) {
+		return 0, nil
+	}
+	return r.Revision, err
+}
+
+// missingRecordError reports a record that does not stand.
+type missingRecordError struct{ kind, name string }
+
+func (e *missingRecordError) Error() string {
+	return fmt.Sprintf("no %s %q stands", e.kind, e.name)
+}
+
+func listRecords(c *client, kind, name string, schema int) (operator.Records, error) {
+	q := url.Values{"kind": {kind}, "name": {name}}
+	if schema > 0 {
+		q.Set("schema", strconv.Itoa(schema))
+	}
+	var out operator.Records
+	err := c.do(http.MethodGet, "/operator/records", q, nil, &out)
+	return out, err
+}
+
+func findRecord(c *client, kind, name string, schema int) (record.Record, error) {
+	all, err := listRecords(c, kind, name, schema)
+	if err != nil {
+		return record.Record{}, err
+	}
+	if len(all.Records) == 0 {
+		return record.Record{}, &missingRecordError{kind, name}
+	}
+	return all.Records[0], nil
+}
+
+func recordGetCommand() command {
+	c := newClient()
+	var kind, name string
+	var schema int
+	return command{
+		path:    "record get",
+		help:    "Print one record.",
+		detail:  "Prints the record as it was submitted, or in the schema version that --schema names.",
+		args:    []argument{{"kind", "The kind of record.", &kind}, {"name", "The record's name.", &name}},
+		options: c.options(option{name: "schema", help: "Schema version to convert to.", number: &schema}),
+		run: func(env *env) error {
+			r, err := findRecord(c, kind, name, schema)
+			if err != nil {
+				return err
+			}
+			return printJSON(env, r)
+		},
+	}
+}
+
+func recordListCommand() command {
+	c := newClient()
+	var kind string
+	var asJSON bool
+	return command{
+		path: "record list",
+		help: "List the records that stand.",
+		options: c.options(
+			option{name: "kind", help: "Only records of this kind.", text: &kind},
+			option{name: "json", help: "Print JSON.", on: &asJSON}),
+		run: func(env *env) error {
+			all, err := listRecords(c, kind, "", 0)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return printJSON(env, all)
+			}
+			for _, r := range all.Records {
+				fmt.Fprintf(env.out, "%-10s %-24s schema %d  revision %d\n", r.Kind, r.Name, r.Schema, r.Revision)
+			}
+			return nil
+		},
+	}
+}
+
+func recordWithdrawCommand() command {
+	c := newClient()
+	var kind, name, request string
+	replaces := -1
+	return command{
+		path:   "record withdraw",
+		help:   "Withdraw one record.",
+		detail: "Withdrawing a workspace withdraws its keys, rollout configurations and steps with it.",
+		args:   []argument{{"kind", "The kind of record.", &kind}, {"name", "The record's name.", &name}},
+		options: c.options(
+			option{name: "request", help: "Request number; the same number again gets the first answer.", text: &request},
+			option{name: "replaces", help: "Revision that is withdrawn.", number: &replaces}),
+		run: func(env *env) error { return withdraw(env, c, kind, name, request, replaces) },
+	}
+}
+
+func withdraw(env *env, c *client, kind, name, request string, replaces int) error {
+	revision, err := replaced(c, kind, name, replaces)
+	if err != nil {
+		return err
+	}
+	return c.submit(env, operator.Change{Request: request, Kind: kind, Name: name, Replaces: revision, Withdraw: true})
+}
+
+func recordWaitCommand() command {
+	c := newClient()
+	var revision string
+	wait := 30
+	return command{
+		path:    "record wait",
+		help:    "Wait until a revision is in force on every entry host.",
+		detail:  "A host that can not confirm the revision refuses work once its lease has ended; then it counts as well.",
+		args:    []argument{{"revision", "The revision to wait for.", &revision}},
+		options: c.options(option{name: "seconds", help: "Longest wait.", number: &wait}),
+		run:     func(env *env) error { return waitInForce(env, c, revision, time.Duration(wait)*time.Second) },
+	}
+}
+
+func waitInForce(env *env, c *client, revision string, wait time.Duration) error {
+	if _, err := strconv.ParseUint(revision, 10, 64); err != nil {
+		return &UsageError{Problem: "the revision must be a whole number"}
+	}
+	for deadline := time.Now().Add(wait); ; {
+		left := min(waitRound, time.Until(deadline))
+		q := url.Values{"revision": {revision}, "wait": {strconv.FormatInt(max(0, left.Milliseconds()), 10)}}
+		var a operator.InForce
+		if err := c.do(http.MethodGet, "/operator/inforce", q, nil, &a); err != nil {
+			return err
+		}
+		if a.InForce {
+			fmt.Fprintf(env.out, "revision %s is in force\n", revision)
+			return nil
+		}
+		if time.Until(deadline) <= 0 {
+			return fmt.Errorf("revision %s is not in force yet, waiting for %v", revision, a.Waiting)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/plantainbank/plantainbank/pkg/connection/announce"
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
+)
+
+// EngineConfig sets up an engine.
+type EngineConfig struct {
+	Base
+	// Token is the time for one token.
+	Token time.Duration
+	// Cold is how many requests after the start an engine bears only little.
+	Cold int
+	// Fences makes the engine refuse orders with an old fencing number.
+	Fences bool
+	// Store is the address of the weight store; empty means none.
+	Store string
+	// Swap is the time that loading weights takes.
+	Swap time.Duration
+}
+
+// EngineFault switches faults of an engine.
+type EngineFault struct {
+	// Cut ends a stream after that many tokens, for the next Times requests.
+	Cut   int `json:"cut"`
+	Times int `json:"times"`
+	// Crossed answers with another request's name.
+	Crossed bool `json:"crossed"`
+	// Silent names no weight version.
+	Silent bool `json:"silent"`
+	// Swaps makes that many swaps fail.
+	Swaps int `json:"swaps"`
+	// Busy answers 503 to everything.
+	Busy bool `json:"busy"`
+	// Late delays the first token, in milliseconds.
+	Late int `json:"late"`
+	// Slow multiplies the time for a token.
+	Slow int `json:"slow"`
+	// Cold makes a warm engine cold again.
+	Cold bool `json:"cold"`
+}
+
+// Engine is a stand-in model engine.
+type Engine struct {
+	*server
+	cfg EngineConfig
+	// fault, versions, warm and fence are guarded by server.mu.
+	fault    EngineFault
+	versions map[string]uint64
+	warm     int
+	fence    uint64
+}
+
+// StartEngine starts an engine.
+func StartEngine(cfg EngineConfig) (*Engine, error) {
+	e := &Engine{server: newServer(cfg.Base, "engine"), cfg: cfg, versions: map[string]uint64{}}
+	e.describe = func(a *announce.Announcement) {
+		a.Versions, a.Fences = maps.Clone(e.versions), cfg.Fences
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /generate", e.generate)
+	mux.HandleFunc("POST /orders", e.order)
+	mux.HandleFunc("POST /fault", e.setFault)
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Stats()) })
+	return e, e.start(mux)
+}
+
+// Stats returns a copy of the counters.
+func (e *Engine) Stats() Stats {
+	s := e.server.Stats()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.Versions = maps.Clone(e.versions)
+	return s
+}
+
+func (e *Engine) setFault(w http.ResponseWriter, r *http.Request) {
+	var f EngineFault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFault(f)
+}
+
+// SetFault replaces the fault switches.
+func (e *Engine) SetFault(f EngineFault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = f
+	if f.Cold {
+		e.warm = 0
+	}
+}
+
+// bears is what the engine bears at this moment: a cold one bears little more
+// than it has proven.
+func (e *Engine) bears() int {
+	if e.warm >= e.cfg.Cold {
+		return e.Bears
+	}
+	return min(e.Bears, 1+e.warm/2)
+}
+
+// takeFault returns the switches for one request.
+func (e *Engine) takeFault() (f EngineFault, bears int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f, bears = e.fault, e.bears()
+	if f.Cut > 0 {
+		if e.fault.Times--; e.fault.Times <= 0 {
+			e.fault.Cut = 0
+		}
+	}
+	return f, bears
+}
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	var g attempt.Generation
+	if err := json.Unmarshal(body, &g); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f, bears := e.takeFault()
+	if over := e.enter(bears, hasKey(r, body)); over || f.Busy {
+		time.Sleep(e.cfg.Token)
+		e.leave(false)
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	served := e.stream(w, r, g, f)
+	e.mu.Lock()
+	if served {
+		e.warm++
+	}
+	e.mu.Unlock()
+	e.leave(served)
+}
+
+// stream writes the tokens of a generation; each is a function of the seed and
+// its offset, so that a resumed stream goes on as the first one would have.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g attempt.Generation, f EngineFault) bool {
+	w.Header().Set("Content-Type", "text/event-stream")
+	name := g.Request
+	if f.Crossed {
+		name = "another"
+	}
+	time.Sleep(time.Duration(f.Late) * time.Millisecond)
+	for i := g.Offset; i < g.Tokens; i++ {
+		if r.Context().Err() != nil {
+			return false
+		}
+		if f.Cut > 0 && i-g.Offset >= f.Cut {
+			cut(w)
+			return false
+		}
+		time.Sleep(e.cfg.Token * time.Duration(max(1, f.Slow)))
+		event := attempt.Event{Request: name, Index: i, Text: tokenText(g.Seed, i)}
+		if !f.Silent {
+			v := e.version(g.Rollout)
+			event.Version = &v
+		}
+		writeEvent(w, event)
+	}
+	writeEvent(w, attempt.Event{Request: name, Done: true, Reason: "length"})
+	return true
+}
+
+func (e *Engine) version(rollout string) uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.versions[rollout]
+}
+
+func tokenText(seed uint64, i int) string {
+	words := []string{"menu", "chai", "pod", "slip", "stall", "route", "proof", "clean"}
+	return words[(seed+uint64(i)*2654435761)%uint64(len(words))] + " "
+}
+
+func writeEvent(w http.ResponseWriter, e attempt.Event) {
+	data, _ := json.Marshal(e) // a plain struct always encodes
+	fmt.Fprintf(w, "data: %s\n\n", data)
+	w.(http.Flusher).Flush()
+}
+
+// engineOrder is an order to load weights.
+type engineOrder struct {
+	Kind    string `json:"kind"`
+	Rollout string `json:"rollout"`
+	Version uint64 `json:"version"`
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	fence, _ := strconv.ParseUint(r.Header.Get("X-Fence"), 10, 64)
+	if !e.admitOrder(fence, r, body) {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	var o engineOrder
+	if err := json.Unmarshal(body, &o); err != nil || o.Kind != "load" {
+		http.Error(w, "unknown order", http.StatusBadRequest)
+		return
+	}
+	go e.load(o)
+}
+
+func (e *Engine) admitOrder(fence uint64, r *http.Request, body []byte) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ok := !e.cfg.Fences || fence >= e.fence
+	e.fence = max(e.fence, fence)
+	e.stats.Orders = append(e.stats.Orders, Received{Fence: r.Header.Get("X-Fence"), Number: r.Header.Get("X-Number"),
+		Body: string(body), At: time.Now().UnixMilli(), Accepted: ok})
+	return ok
+}
+
+// load swaps the weights of a rollout, also under running streams.
+func (e *Engine) load(o engineOrder) {
+	time.Sleep(e.cfg.Swap)
+	if !e.fetch(o) {
+		return
+	}
+	e.mu.Lock()
+	if e.fault.Swaps > 0 {
+		e.fault.Swaps--
+		e.mu.Unlock()
+		return
+	}
+	e.versions[o.Rollout] = max(e.versions[o.Rollout], o.Version)
+	e.mu.Unlock()
+	if len(e.Entries) > 0 {
+		e.announce()
+	}
+}
+
+// fetch gets the weights from the store.
+func (e *Engine) fetch(o engineOrder) bool {
+	if e.cfg.Store == "" {
+		return true
+	}
+	res, err := announceClient.Get(fmt.Sprintf("http://%s/weights/%s/%d", e.cfg.Store, o.Rollout, o.Version))
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,262 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// PlatformConfig sets up a platform.
+type PlatformConfig struct {
+	Addr string
+	// Fences makes the platform refuse orders with an old fencing number.
+	Fences bool
+	// Launch starts a backend server for an order; nil means that orders are
+	// only written down.
+	Launch func(zone, pool, class string, n int) (stop func())
+}
+
+// PlatformFault switches faults of the platform.
+type PlatformFault struct {
+	// Lost cuts the connection after a message was taken, that many times.
+	Lost int `json:"lost"`
+	// None lists the zones in which no server can be had.
+	None []string `json:"none"`
+}
+
+// PlatformLog is everything that the platform was told.
+type PlatformLog struct {
+	Orders []Received `json:"orders"`
+	Usage  []Received `json:"usage"`
+	// Seconds is the time that launched servers ran, by class.
+	Seconds map[string]float64 `json:"seconds"`
+}
+
+// Platform is a stand-in for the platform's interfaces.
+type Platform struct {
+	Addr  string
+	cfg   PlatformConfig
+	http  *http.Server
+	mu    sync.Mutex
+	fence uint64
+	log   PlatformLog
+	fault PlatformFault
+	live  map[string][]launched
+	count int
+}
+
+// launched is a backend server that the platform started.
+type launched struct {
+	class string
+	since time.Time
+	stop  func()
+}
+
+// platformOrder is an order for backend servers.
+type platformOrder struct {
+	Number uint64 `json:"number"`
+	Zone   string `json:"zone"`
+	Pool   string `json:"pool"`
+	Steady int    `json:"steady"`
+	Cheap  int    `json:"cheap"`
+}
+
+// StartPlatform starts a platform.
+func StartPlatform(cfg PlatformConfig) (*Platform, error) {
+	lis, err := net.Listen("tcp", cfg.Addr)
+	if err != nil {
+		return nil, err
+	}
+	p := &Platform{Addr: lis.Addr().String(), cfg: cfg, live: map[string][]launched{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /orders", p.order)
+	mux.HandleFunc("POST /usage", p.usage)
+	mux.HandleFunc("GET /log", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Log()) })
+	mux.HandleFunc("POST /fault", func(w http.ResponseWriter, r *http.Request) {
+		var f PlatformFault
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.SetFault(f)
+	})
+	p.http = &http.Server{Handler: mux}
+	go p.http.Serve(lis)
+	return p, nil
+}
+
+// Close ends the platform and the servers that it launched.
+func (p *Platform) Close() {
+	p.http.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, all := range p.live {
+		for _, x := range all {
+			x.stop()
+		}
+	}
+}
+
+// SetFault replaces the fault switches.
+func (p *Platform) SetFault(f PlatformFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+}
+
+// Log returns a copy of what the platform was told.
+func (p *Platform) Log() PlatformLog {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := PlatformLog{Orders: append([]Received{}, p.log.Orders...), Usage: append([]Received{}, p.log.Usage...),
+		Seconds: map[string]float64{}}
+	for c, s := range p.log.Seconds {
+		out.Seconds[c] = s
+	}
+	for _, all := range p.live {
+		for _, x := range all {
+			out.Seconds[x.class] += time.Since(x.since).Seconds()
+		}
+	}
+	return out
+}
+
+// receive notes a message and reports whether it is accepted and whether its
+// answer gets lost.
+func (p *Platform) receive(into *[]Received, r *http.Request) (body []byte, ok, lost bool) {
+	body, _ = io.ReadAll(r.Body)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fence, _ := strconv.ParseUint(r.Header.Get("X-Fence"), 10, 64)
+	ok = !p.cfg.Fences || fence >= p.fence
+	p.fence = max(p.fence, fence)
+	*into = append(*into, Received{Fence: r.Header.Get("X-Fence"), Number: r.Header.Get("X-Number"), Body: string(body),
+		At: time.Now().UnixMilli(), Accepted: ok})
+	if p.fault.Lost > 0 {
+		p.fault.Lost--
+		lost = true
+	}
+	return body, ok, lost
+}
+
+func (p *Platform) usage(w http.ResponseWriter, r *http.Request) {
+	_, ok, lost := p.receive(&p.log.Usage, r)
+	switch {
+	case lost:
+		cut(w)
+	case !ok:
+		http.Error(w, "old fencing number", http.StatusConflict)
+	}
+}
+
+func (p *Platform) order(w http.ResponseWriter, r *http.Request) {
+	body, ok, lost := p.receive(&p.log.Orders, r)
+	if !ok {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	var o platformOrder
+	if err := json.Unmarshal(body, &o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	short := p.carryOut(o)
+	if lost {
+		cut(w)
+		return
+	}
+	writeJSON(w, map[string]int{"short": short})
+}
+
+// carryOut starts and stops servers and returns how many can not be had.
+func (p *Platform) carryOut(o platformOrder) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, z := range p.fault.None {
+		if z == o.Zone {
+			return o.Steady + o.Cheap
+		}
+	}
+	if p.cfg.Launch != nil {
+		p.scale(o.Zone, o.Pool, "steady", o.Steady)
+		p.scale(o.Zone, o.Pool, "cheap", o.Cheap)
+	}
+	return 0
+}
+
+func (p *Platform) scale(zone, pool, class string, want int) {
+	key := zone + "/" + pool + "/" + class
+	for len(p.live[key]) < want {
+		p.count++
+		p.live[key] = append(p.live[key], launched{class, time.Now(), p.cfg.Launch(zone, pool, class, p.count)})
+	}
+	for len(p.live[key]) > want {
+		n := len(p.live[key]) - 1
+		p.stop(p.live[key][n])
+		p.live[key] = p.live[key][:n]
+	}
+}
+
+func (p *Platform) stop(x launched) {
+	if p.log.Seconds == nil {
+		p.log.Seconds = map[string]float64{}
+	}
+	p.log.Seconds[x.class] += time.Since(x.since).Seconds()
+	go x.stop()
+}
+
+// WeightStore is a stand-in for the rate-limited weight store.
+type WeightStore struct {
+	Addr string
+	http *http.Server
+	mu   sync.Mutex
+	// rate is the number of fetches allowed in a second.
+	rate   int
+	second int64
+	used   int
+	// Fetched and Refused count the requests.
+	Fetched, Refused int
+}
+
+// StartWeightStore starts a weight store.
+func StartWeightStore(addr string, rate int) (*WeightStore, error) {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &WeightStore{Addr: lis.Addr().String(), rate: rate}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights/{rollout}/{version}", func(w http.ResponseWriter, r *http.Request) {
+		if !s.allow() {
+			http.Error(w, "rate limit", http.StatusTooManyRequests)
+			return
+		}
+		fmt.Fprintf(w, "%s/%s\n", r.PathValue("rollout"), r.PathValue("version"))
+	})
+	s.http = &http.Server{Handler: mux}
+	go s.http.Serve(lis)
+	return s, nil
+}
+
+// Close ends the store.
+func (s *WeightStore) Close() { s.http.Close() }
+
+func (s *WeightStore) allow() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now().Unix(); now != s.second {
+		s.second, s.used = now, 0
+	}
+	if s.used >= s.rate {
+		s.Refused++
+		return false
+	}
+	s.used++
+	s.Fetched++
+	return true
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,232 @@
+// Package standin holds small stand-ins for the outside systems: engines,
+// plain services, the platform, the weight store, scoring services and
+// trainers. They serve the demo, the tests and the measurements. Each has
+// fault switches that are set with POST /fault.
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/plantainbank/plantainbank/pkg/connection/announce"
+)
+
+// announcePeriod is the period at which backend servers announce themselves.
+const announcePeriod = 500 * time.Millisecond
+
+// KeyMark is the start of every key; no backend server may see it.
+const KeyMark = "pbk_"
+
+// Base holds the settings that all backend servers share.
+type Base struct {
+	ID, Addr, Zone, Pool, Class string
+	// Entries are the addresses that announcements go to, in turn.
+	Entries []string
+	// Token is the backend servers' token.
+	Token string
+	Bears int
+	// Incarnation is the start time unless it is set.
+	Incarnation uint64
+}
+
+// server is a running backend server.
+type server struct {
+	Base
+	kind string
+	http *http.Server
+	lis  net.Listener
+	stop chan struct{}
+
+	mu      sync.Mutex
+	seq     uint64
+	leaving bool
+	running int
+	stats   Stats
+	// describe adds what only one kind of server announces.
+	describe func(*announce.Announcement)
+}
+
+// Stats is what a backend server saw.
+type Stats struct {
+	Running int `json:"running"`
+	// Peak is the highest number of requests that ran at once.
+	Peak    int `json:"peak"`
+	Served  int `json:"served"`
+	Refused int `json:"refused"`
+	// Over counts requests beyond what the server bore at that moment.
+	Over int `json:"over"`
+	// Leaks counts requests that held something like a key.
+	Leaks int `json:"leaks"`
+	// Started counts requests whose body arrived.
+	Started int `json:"started"`
+	// Last is the start of the latest request in Unix milliseconds.
+	Last int64 `json:"last"`
+	// Orders lists the accepted orders.
+	Orders []Received `json:"orders,omitempty"`
+	// Versions holds the loaded weight versions.
+	Versions map[string]uint64 `json:"versions,omitempty"`
+}
+
+// Received is an order or a report as it arrived.
+type Received struct {
+	Fence    string `json:"fence"`
+	Number   string `json:"number"`
+	Body     string `json:"body"`
+	At       int64  `json:"at"`
+	Accepted bool   `json:"accepted"`
+}
+
+func newServer(b Base, kind string) *server {
+	if b.Incarnation == 0 {
+		b.Incarnation = uint64(time.Now().UnixNano())
+	}
+	return &server{Base: b, kind: kind, stop: make(chan struct{})}
+}
+
+// start serves mux, with the pages that all servers have, and announces.
+func (s *server) start(mux *http.ServeMux) error {
+	lis, err := net.Listen("tcp", s.Addr)
+	if err != nil {
+		return err
+	}
+	s.lis, s.Addr = lis, lis.Addr().String()
+	mux.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { s.Leave() })
+	s.http = &http.Server{Handler: mux}
+	go s.http.Serve(lis)
+	if len(s.Entries) > 0 {
+		go s.announceLoop()
+	}
+	return nil
+}
+
+// Close ends the server at once.
+func (s *server) Close() {
+	close(s.stop)
+	s.http.Close()
+}
+
+// Leave announces that the server is about to stop.
+func (s *server) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.announce()
+}
+
+func (s *server) announceLoop() {
+	tick := time.NewTicker(announcePeriod)
+	defer tick.Stop()
+	for {
+		s.announce()
+		select {
+		case <-s.stop:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// announce sends one announcement to the next entry host that takes it.
+func (s *server) announce() {
+	s.mu.Lock()
+	s.seq++
+	a := announce.Announcement{ID: s.ID, Incarnation: s.Incarnation, Seq: s.seq, Addr: s.Addr, Zone: s.Zone, Pool: s.Pool,
+		Kind: s.kind, Class: s.Class, Bears: s.Bears, Running: s.running, Leaving: s.leaving}
+	if s.describe != nil {
+		s.describe(&a)
+	}
+	seq := int(s.seq)
+	s.mu.Unlock()
+	body, _ := json.Marshal(a) // a plain struct always encodes
+	for i := range s.Entries {
+		if s.send(s.Entries[(seq+i)%len(s.Entries)], body) {
+			return
+		}
+	}
+}
+
+var announceClient = &http.Client{Timeout: time.Second}
+
+func (s *server) send(entry string, body []byte) bool {
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry+"/announce", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Authorization", "Bearer "+s.Token)
+	res, err := announceClient.Do(req)
+	if err != nil {
+		return false
+	}
+	io.Copy(io.Discard, res.Body)
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// enter counts a request; bears is what the server bears at this moment.
+func (s *server) enter(bears int, leak bool) (over bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	s.stats.Started++
+	s.stats.Last = time.Now().UnixMilli()
+	s.stats.Peak = max(s.stats.Peak, s.running)
+	if leak {
+		s.stats.Leaks++
+	}
+	over = s.running > bears
+	if over {
+		s.stats.Over++
+	}
+	return over
+}
+
+func (s *server) leave(served bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	if served {
+		s.stats.Served++
+	} else {
+		s.stats.Refused++
+	}
+}
+
+// Stats returns a copy of the counters.
+func (s *server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.stats
+	out.Running = s.running
+	return out
+}
+
+// hasKey reports whether a request holds something like a key.
+func hasKey(r *http.Request, body []byte) bool {
+	if bytes.Contains(body, []byte(KeyMark)) || strings.Contains(r.RequestURI, KeyMark) {
+		return true
+	}
+	return strings.Contains(fmt.Sprint(r.Header), KeyMark)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
+
+// cut ends the connection of a request without an answer.
+func cut(w http.ResponseWriter) {
+	if h, ok := w.(http.Hijacker); ok {
+		if c, _, err := h.Hijack(); err == nil {
+			c.Close()
+			return
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/pkg/connection/announce/announce.go
@@ -0,0 +1,114 @@
+// Package announce serves backend servers, which announce themselves, their
+// load and their leaving.
+package announce
+
+import (
+	"net"
+	"net/http"
+	"regexp"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/plantainbank/plantainbank/pkg/connection/answer"
+	"github.com/plantainbank/plantainbank/pkg/connection/operator"
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
+	"github.com/plantainbank/plantainbank/pkg/version/strictjson"
+	pb "github.com/plantainbank/plantainbank/service/control"
+)
+
+// Announcement is the body of POST /announce. A backend server sends one every
+// second, and one with Leaving set when it is about to stop.
+type Announcement struct {
+	ID string `json:"id"`
+	// Incarnation grows with every start of the server.
+	Incarnation uint64 `json:"incarnation"`
+	// Seq grows with every announcement of an incarnation.
+	Seq  uint64 `json:"seq"`
+	Addr string `json:"addr"`
+	Zone string `json:"zone"`
+	Pool string `json:"pool"`
+	// Kind is "engine" or "service".
+	Kind string `json:"kind"`
+	// Class is "steady" or "cheap".
+	Class string `json:"class"`
+	// Bears is the number of requests that the warm server bears at once.
+	Bears   int `json:"bears"`
+	Running int `json:"running"`
+	// Versions holds the loaded weight version of each rollout.
+	Versions map[string]uint64 `json:"versions,omitempty"`
+	// Fences tells that the server refuses orders with an old fencing number.
+	Fences  bool `json:"fences"`
+	Leaving bool `json:"leaving"`
+}
+
+// bearsMost bounds what a server may claim to bear.
+const bearsMost = 100_000
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// Config holds what a Handler needs.
+type Config struct {
+	// Token is the SHA-256 of the backend servers' token in hex.
+	Token string
+	Take  func(*pb.Announcement)
+}
+
+// Handler serves the backend servers' listener.
+type Handler struct{ cfg Config }
+
+// New returns a handler.
+func New(cfg Config) *Handler { return &Handler{cfg} }
+
+// Serve answers one request.
+func (h *Handler) Serve(ctx *fasthttp.RequestCtx) {
+	if !operator.Authorized(ctx, h.cfg.Token) {
+		answer.WriteError(ctx, &answer.Error{Status: http.StatusUnauthorized, Code: answer.CodeForbidden,
+			Message: "the backend servers' token is required", Ran: attempt.RanNo})
+		return
+	}
+	if string(ctx.Path()) != "/announce" || !ctx.IsPost() {
+		answer.WriteError(ctx, &answer.Error{Status: http.StatusNotFound, Code: answer.CodeNoRoute,
+			Message: "use POST /announce", Ran: attempt.RanNo})
+		return
+	}
+	var a Announcement
+	err := strictjson.Decode(ctx.PostBody(), &a)
+	if err == nil {
+		err = a.check()
+	}
+	if err != nil {
+		answer.WriteError(ctx, err)
+		return
+	}
+	h.cfg.Take(a.wire())
+	answer.Write(ctx, http.StatusOK, struct{}{})
+}
+
+func (a *Announcement) check() error {
+	for _, f := range []struct{ field, value string }{{"id", a.ID}, {"zone", a.Zone}, {"pool", a.Pool}} {
+		if !namePattern.MatchString(f.value) {
+			return answer.Invalid(f.field, "must be a name of 1 to 63 letters, digits, dots, hyphens or underscores")
+		}
+	}
+	host, _, err := net.SplitHostPort(a.Addr)
+	switch {
+	case err != nil || net.ParseIP(host) == nil:
+		return answer.Invalid("addr", "must be an IP address and port")
+	case a.Incarnation == 0:
+		return answer.Invalid("incarnation", "must be 1 or more")
+	case a.Bears < 1 || a.Bears > bearsMost:
+		return answer.Invalid("bears", "must be 1 to 100000")
+	case a.Running < 0:
+		return answer.Invalid("running", "must not be negative")
+	}
+	if err := strictjson.OneOf("kind", a.Kind, "engine", "service"); err != nil {
+		return err
+	}
+	return strictjson.OneOf("class", a.Class, "cheap", "steady")
+}
+
+func (a *Announcement) wire() *pb.Announcement {
+	return &pb.Announcement{Id: a.ID, Incarnation: a.Incarnation, Seq: a.Seq, Addr: a.Addr, Zone: a.Zone, Pool: a.Pool,
+		Kind: a.Kind, Class: a.Class, Bears: uint32(a.Bears), Running: uint32(a.Running), Versions: a.Versions,
+		Fences: a.Fences, Leaving: a.Leaving}
+}
--- /dev/null
+++ b/pkg/connection/answer/answer.go
@@ -0,0 +1,153 @@
+// Package answer writes the answers of the entry host: one JSON form for
+// values and one for errors.
+package answer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/plantainbank/plantainbank/pkg/process/leader"
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
+	"github.com/plantainbank/plantainbank/pkg/request/queue"
+	"github.com/plantainbank/plantainbank/pkg/version/strictjson"
+)
+
+// Error is an error as callers see it.
+type Error struct {
+	Status int `json:"-"`
+	// Code is stable; docs/API.md lists all codes.
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	// Field names the part of the request that is wrong, if one is.
+	Field string `json:"field,omitempty"`
+	// Ran says whether the request was run.
+	Ran attempt.Ran `json:"ran"`
+	// RetryAfter is sent as a header if it is positive.
+	RetryAfter time.Duration `json:"-"`
+}
+
+func (e *Error) Error() string { return e.Code + ": " + e.Message }
+
+// Codes of errors.
+const (
+	CodeInvalid       = "invalid_request"
+	CodeKeyMissing    = "key_missing"
+	CodeKeyRefused    = "key_refused"
+	CodeKeyLeaks      = "key_misplaced"
+	CodeNoRoute       = "no_such_route"
+	CodeNoModel       = "no_such_model"
+	CodeNoStep        = "no_such_step"
+	CodeConflict      = "conflict"
+	CodeOverloaded    = "overloaded"
+	CodeNoConfig      = "no_configuration"
+	CodeBackendFailed = "backend_failed"
+	CodeWithdrawn     = "key_withdrawn"
+	CodeUndecided     = "outcome_unknown"
+	CodeForbidden     = "forbidden"
+)
+
+// Invalid returns an error about one field of a request that was not run.
+func Invalid(field, message string) *Error {
+	return &Error{Status: http.StatusBadRequest, Code: CodeInvalid, Field: field,
+		Message: fmt.Sprintf("field %q %s", field, message), Ran: attempt.RanNo}
+}
+
+// NoConfig returns the error of a host without a valid lease.
+func NoConfig() *Error {
+	return &Error{Status: http.StatusServiceUnavailable, Code: CodeNoConfig, RetryAfter: time.Second,
+		Message: "this host has no valid configuration now; the request was not run", Ran: attempt.RanNo}
+}
+
+// Withdrawn is the cause of a context that ended with its key.
+var Withdrawn = &Error{Status: http.StatusUnauthorized, Code: CodeWithdrawn, Ran: attempt.RanYes,
+	Message: "the key was withdrawn, or its validity can not be checked any more"}
+
+// From turns any error into the one that callers see.
+func From(err error) *Error {
+	var e *Error
+	var a *attempt.Error
+	switch {
+	case errors.As(err, &a):
+		return fromAttempt(a)
+	case errors.As(err, &e):
+		return e
+	}
+	if e := fromInput(err); e != nil {
+		return e
+	}
+	var u *leader.UnreachableError
+	if errors.As(err, &u) {
+		return &Error{Status: http.StatusServiceUnavailable, Code: CodeUndecided, RetryAfter: time.Second,
+			Message: "no control leader answered; ask again with the same content", Ran: attempt.RanUnknown}
+	}
+	return &Error{Status: http.StatusBadGateway, Code: CodeBackendFailed, Message: "the request failed", Ran: attempt.RanUnknown}
+}
+
+func fromInput(err error) *Error {
+	var f *strictjson.FieldError
+	var s *strictjson.SyntaxError
+	switch {
+	case errors.As(err, &f):
+		return &Error{Status: http.StatusBadRequest, Code: CodeInvalid, Field: f.Field, Message: f.Error(), Ran: attempt.RanNo}
+	case errors.As(err, &s):
+		return &Error{Status: http.StatusBadRequest, Code: CodeInvalid, Message: s.Error(), Ran: attempt.RanNo}
+	}
+	return nil
+}
+
+func fromAttempt(a *attempt.Error) *Error {
+	var q *queue.RefusedError
+	var e *Error
+	switch {
+	case errors.As(a.Err, &e):
+		out := *e
+		out.Ran = a.Ran
+		return &out
+	case errors.As(a.Err, &q) && q.Reason == queue.ReasonStopped:
+		out := NoConfig()
+		out.Ran = a.Ran
+		return out
+	case errors.As(a.Err, &q):
+		return &Error{Status: http.StatusTooManyRequests, Code: CodeOverloaded, Ran: a.Ran, RetryAfter: q.RetryAfter,
+			Message: "the backend servers have no room in time: " + q.Reason}
+	}
+	return &Error{Status: http.StatusBadGateway, Code: CodeBackendFailed, Ran: a.Ran,
+		Message: "the backend server gave no whole answer in phase " + a.Phase}
+}
+
+// envelope is the JSON form of an error.
+type envelope struct {
+	Error *Error `json:"error"`
+}
+
+// WriteError answers with an error.
+func WriteError(ctx *fasthttp.RequestCtx, err error) {
+	e := From(err)
+	if e.RetryAfter > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.Itoa(queue.Seconds(e.RetryAfter)))
+	}
+	Write(ctx, e.Status, envelope{e})
+}
+
+// Body returns the JSON form of an error, for streams.
+func Body(err error) []byte {
+	data, _ := json.Marshal(envelope{From(err)}) // a plain struct always encodes
+	return data
+}
+
+// Write answers with a value.
+func Write(ctx *fasthttp.RequestCtx, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		status, data = http.StatusInternalServerError, []byte(`{}`)
+	}
+	ctx.Response.SetStatusCode(status)
+	ctx.Response.Header.SetContentType("application/json")
+	ctx.Response.SetBodyRaw(append(data, '\n'))
+}
--- /dev/null
+++ b/pkg/connection/backendserver/table.go
@@ -0,0 +1,432 @@
+// Package backendserver is an entry host's view of the backend servers: which
+// there are, how much this host may send to each, and which one to choose.
+package backendserver
+
+import (
+	"hash/maphash"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Server is what the control leader says of one backend server.
+type Server struct {
+	ID          string
+	Incarnation uint64
+	Addr        string
+	Zone        string
+	Pool        string
+	// Kind is "engine" or "service".
+	Kind string
+	// Class is "steady" or "cheap"; cheap servers may vanish.
+	Class string
+	// Versions holds the weight version of each rollout that is loaded.
+	Versions map[string]uint64
+	Leaving  bool
+	// Running is the server's own word, which lags behind.
+	Running int
+	// Limit is the total of all hosts' shares.
+	Limit int
+}
+
+// Counts are cumulative outcomes at one incarnation of a backend server.
+type Counts struct {
+	Served, Refused, Failed uint64
+}
+
+// Holding is what this host holds of a backend server.
+type Holding struct {
+	ID          string
+	Incarnation uint64
+	Share       int
+	Running     int
+	Limit       int
+	Counts      Counts
+}
+
+// state is a backend server as this host uses it.
+type state struct {
+	Server
+	share   int
+	running int
+	counts  Counts
+	// latency is the moving average of a request's time in seconds.
+	latency float64
+	// failures counts the failures since the last success.
+	failures int
+	// ejectedUntil keeps a failing server out of the choice.
+	ejectedUntil time.Time
+	ejections    int
+}
+
+// Policy sets how a server is chosen.
+type Policy struct {
+	// Choice is "wait", "least" or "robin".
+	Choice string
+	// Affinity is the advantage of a server that holds the prefix, in
+	// requests in flight.
+	Affinity float64
+	// Unshared ignores the shares: each server takes at most Fixed requests.
+	Unshared bool
+	Fixed    int
+}
+
+// Limits of ejection.
+const (
+	ejectAfter   = 3
+	ejectFirst   = 500 * time.Millisecond
+	ejectLongest = 30 * time.Second
+	// ejectMost is the largest part of a pool that may be ejected.
+	ejectMost     = 0.5
+	latencyWindow = 16
+)
+
+// Table holds the backend servers. It is safe for concurrent use.
+type Table struct {
+	policy   Policy
+	mu       sync.Mutex
+	servers  map[string]*state
+	zonesOut map[string]bool
+	number   uint64
+	turn     uint64
+	rng      *rand.Rand
+}
+
+// New returns an empty table.
+func New(policy Policy, seed uint64) *Table {
+	return &Table{policy: policy, servers: map[string]*state{}, rng: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Number returns the number of the table in force.
+func (t *Table) Number() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.number
+}
+
+// Replace puts a new table in force. Servers that stand keep their counters,
+// unless they were started again.
+func (t *Table) Replace(number uint64, servers []Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.number = number
+	seen := map[string]bool{}
+	for _, s := range servers {
+		seen[s.ID] = true
+		old := t.servers[s.ID]
+		if old == nil {
+			t.servers[s.ID] = &state{Server: s}
+			continue
+		}
+		if old.Incarnation != s.Incarnation {
+			old.counts, old.latency, old.failures, old.ejections = Counts{}, 0, 0, 0
+			old.ejectedUntil = time.Time{}
+		}
+		old.Server = s
+	}
+	for id, s := range t.servers {
+		if !seen[id] && s.running == 0 {
+			delete(t.servers, id)
+		} else if !seen[id] {
+			s.Leaving = true
+		}
+	}
+}
+
+// SetShares puts this host's shares in force; servers that are not listed get
+// none.
+func (t *Table) SetShares(shares map[string]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.servers {
+		s.share = shares[id]
+	}
+}
+
+// SetZonesOut names the availability zones that get no new work.
+func (t *Table) SetZonesOut(out map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.zonesOut = out
+}
+
+// Holdings returns what this host holds of every server.
+func (t *Table) Holdings() []Holding {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Holding, 0, len(t.servers))
+	for _, s := range t.servers {
+		out = append(out, Holding{s.ID, s.Incarnation, s.share, s.running, s.Limit, s.counts})
+	}
+	return out
+}
+
+// Capacity returns the number of slots that this host has in a pool.
+func (t *Table) Capacity(pool string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.servers {
+		if s.Pool == pool {
+			n += t.most(s)
+		}
+	}
+	return n
+}
+
+// Free returns the number of unused slots of this host in a pool.
+func (t *Table) Free(pool string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.servers {
+		if s.Pool == pool {
+			n += max(0, t.most(s)-s.running)
+		}
+	}
+	return n
+}
+
+// most is the number of requests that this host may have at a server.
+func (t *Table) most(s *state) int {
+	if t.policy.Unshared {
+		return t.policy.Fixed
+	}
+	return s.share
+}
+
+// Want describes what a request needs of a server.
+type Want struct {
+	Pool string
+	// Prefix is hashed to prefer the server that has it cached.
+	Prefix string
+	// Rollout and Version ask for loaded weights of at least that version.
+	Rollout string
+	Version uint64
+	// Steady asks for a server that is not reclaimed at short notice, as long
+	// as the pool has any.
+	Steady bool
+	// Avoid lists servers that the request has failed at.
+	Avoid map[string]bool
+}
+
+// Slot is a place at a backend server. It must be released once.
+type Slot struct {
+	ID, Addr, Zone string
+	Pool           string
+	Incarnation    uint64
+	taken          time.Time
+}
+
+// Outcome is how the use of a slot ended.
+type Outcome int
+
+// Outcomes of a slot.
+const (
+	// Served requests ended as they should.
+	Served Outcome = iota
+	// Refused requests were turned away by the server for its load.
+	Refused
+	// Failed requests met a broken server or connection.
+	Failed
+	// Abandoned requests ended for a reason that says nothing of the server.
+	Abandoned
+)
+
+// Take takes a slot at the best server that suits, or returns false.
+func (t *Table) Take(w Want) (Slot, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	s := t.choose(t.candidates(w, now), w)
+	if s == nil {
+		return Slot{}, false
+	}
+	s.running++
+	return Slot{ID: s.ID, Addr: s.Addr, Zone: s.Zone, Pool: s.Pool, Incarnation: s.Incarnation, taken: now}, true
+}
+
+// candidates lists the servers that have room for the request.
+func (t *Table) candidates(w Want, now time.Time) []*state {
+	steady := w.Steady && t.hasSteady(w.Pool)
+	var out []*state
+	for _, s := range t.servers {
+		switch {
+		case s.Pool != w.Pool, s.Leaving, t.zonesOut[s.Zone], w.Avoid[s.ID]:
+		case s.running >= t.most(s), now.Before(s.ejectedUntil):
+		case w.Version > 0 && s.Versions[w.Rollout] < w.Version:
+		case steady && s.Class == "cheap":
+		default:
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (t *Table) hasSteady(pool string) bool {
+	for _, s := range t.servers {
+		if s.Pool == pool && s.Class != "cheap" && !s.Leaving && !t.zonesOut[s.Zone] {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) choose(all []*state, w Want) *state {
+	if len(all) == 0 {
+		return nil
+	}
+	switch t.policy.Choice {
+	case "robin":
+		t.turn++
+		return nthByID(all, int(t.turn%uint64(len(all))))
+	case "least":
+		return best(all, func(s *state) float64 { return float64(s.running) })
+	}
+	return t.chooseByWait(all, w)
+}
+
+// chooseByWait takes the least expected wait of two random servers and of the
+// one that the prefix hashes to (Mitzenmacher, "The Power of Two Choices in
+// Randomized Load Balancing", 2001).
+func (t *Table) chooseByWait(all []*state, w Want) *state {
+	a, b := all[t.rng.IntN(len(all))], all[t.rng.IntN(len(all))]
+	choice := []*state{a, b}
+	var home *state
+	if w.Prefix != "" && t.policy.Affinity > 0 {
+		home = homeOf(all, w.Prefix)
+		choice = append(choice, home)
+	}
+	return best(choice, func(s *state) float64 {
+		score := s.expectedWait()
+		if s == home {
+			score -= t.policy.Affinity * max(s.latency, minLatency)
+		}
+		return score
+	})
+}
+
+// minLatency stands in for servers that have served nothing yet.
+const minLatency = 0.001
+
+// expectedWait is the time that a new request would take. The server's own
+// report lags, so this host's own requests are a lower bound for it.
+func (s *state) expectedWait() float64 {
+	inflight := float64(max(s.Running, s.running))
+	return max(s.latency, minLatency) * (1 + inflight/float64(max(1, s.Limit)))
+}
+
+// homeOf returns the server that a prefix hashes to (rendezvous hashing,
+// Thaler and Ravishankar, 1998).
+func homeOf(all []*state, prefix string) *state {
+	h := xxh3.HashString(prefix)
+	return best(all, func(s *state) float64 {
+		return -float64(xxh3.HashStringSeed(s.ID, h)) / math.MaxUint64
+	})
+}
+
+// best returns the server with the lowest score; ties go to the lower ID.
+func best(all []*state, score func(*state) float64) *state {
+	var top *state
+	least := math.Inf(1)
+	for _, s := range all {
+		if x := score(s); x < least || (x == least && s.ID < top.ID) {
+			top, least = s, x
+		}
+	}
+	return top
+}
+
+func nthByID(all []*state, n int) *state {
+	for {
+		s := best(all, func(*state) float64 { return 0 })
+		if n == 0 {
+			return s
+		}
+		n--
+		rest := make([]*state, 0, len(all)-1)
+		for _, x := range all {
+			if x != s {
+				rest = append(rest, x)
+			}
+		}
+		all = rest
+	}
+}
+
+// Release gives a slot back.
+func (t *Table) Release(slot Slot, o Outcome) time.Duration {
+	held := time.Since(slot.taken)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[slot.ID]; s != nil {
+		s.running--
+		if s.Incarnation == slot.Incarnation {
+			t.learn(s, o, held)
+		}
+	}
+	return held
+}
+
+func (t *Table) learn(s *state, o Outcome, held time.Duration) {
+	switch o {
+	case Served:
+		s.counts.Served++
+		s.failures, s.ejections = 0, 0
+		if s.latency == 0 {
+			s.latency = held.Seconds()
+		}
+		s.latency += (held.Seconds() - s.latency) / latencyWindow
+	case Refused:
+		s.counts.Refused++
+		t.fail(s)
+	case Failed:
+		s.counts.Failed++
+		t.fail(s)
+	}
+}
+
+// fail ejects a server after several failures in a row, for longer each time,
+// unless too much of the pool is ejected already.
+func (t *Table) fail(s *state) {
+	s.failures++
+	if s.failures < ejectAfter {
+		return
+	}
+	now := time.Now()
+	out, all := 1, 0
+	for _, x := range t.servers {
+		if x.Pool != s.Pool {
+			continue
+		}
+		all++
+		if x != s && now.Before(x.ejectedUntil) {
+			out++
+		}
+	}
+	if float64(out) > ejectMost*float64(all) {
+		return
+	}
+	s.failures = 0
+	s.ejectedUntil = now.Add(min(ejectLongest, ejectFirst<<min(s.ejections, 8)))
+	s.ejections++
+}
+
+// Seed draws a seed that differs between processes.
+func Seed() uint64 { return maphash.Bytes(maphash.MakeSeed(), nil) }
+
+// Size returns the number of servers of a pool that are not leaving.
+func (t *Table) Size(pool string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.servers {
+		if s.Pool == pool && !s.Leaving && !t.zonesOut[s.Zone] {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/connection/caller/caller.go
@@ -0,0 +1,227 @@
+// Package caller serves callers and trainers over HTTP/1.1: completions, plain
+// services behind route records, and the steps of rollouts.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
+
+	"github.com/plantainbank/plantainbank/pkg/connection/answer"
+	"github.com/plantainbank/plantainbank/pkg/connection/backendserver"
+	"github.com/plantainbank/plantainbank/pkg/connection/socket"
+	"github.com/plantainbank/plantainbank/pkg/process/leader"
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
+	"github.com/plantainbank/plantainbank/pkg/process/trace"
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
+	"github.com/plantainbank/plantainbank/pkg/request/dispatch"
+	"github.com/plantainbank/plantainbank/pkg/version/record"
+	"github.com/plantainbank/plantainbank/pkg/version/view"
+)
+
+// Config holds what a Handler needs.
+type Config struct {
+	Limits     settings.Limits
+	Dispatcher *dispatch.Dispatcher
+	Leader     *leader.Client
+	// View returns the version in force; ok is false without a valid lease.
+	View   func() (v *view.View, ok bool)
+	Scope  tally.Scope
+	Tracer *trace.Tracer
+	// Ready reports whether the balancer may send requests.
+	Ready func() bool
+	// Sizes returns the number of backend servers of a pool.
+	Sizes func(pool string) int
+}
+
+// Handler serves one listener. It is safe for concurrent use.
+type Handler struct {
+	cfg      Config
+	sessions *sessions
+}
+
+// New returns a handler.
+func New(cfg Config) *Handler { return &Handler{cfg: cfg, sessions: newSessions()} }
+
+// Changed ends the running requests whose key no longer stands. held is false
+// when the lease on the configuration has ended.
+func (h *Handler) Changed(v *view.View, held bool) {
+	h.cfg.Scope.Counter("ended_by_withdrawal").Inc(int64(h.sessions.endUnless(func(x view.Holder) bool {
+		return held && v.Holds(x)
+	})))
+}
+
+// Serve answers one request.
+func (h *Handler) Serve(ctx *fasthttp.RequestCtx) {
+	h.cfg.Scope.Counter("requests").Inc(1)
+	switch path := string(ctx.Path()); {
+	case path == "/healthz":
+		ctx.SetBodyString("ok\n")
+	case path == "/readyz":
+		h.readyz(ctx)
+	case path == "/v1/completions" || path == "/v1/chat/completions":
+		h.keyed(ctx, h.completions)
+	case strings.HasPrefix(path, "/v1/steps") || path == "/v1/weights":
+		h.keyed(ctx, h.trainer)
+	default:
+		h.route(ctx, path)
+	}
+}
+
+func (h *Handler) readyz(ctx *fasthttp.RequestCtx) {
+	if !h.cfg.Ready() {
+		ctx.SetStatusCode(http.StatusServiceUnavailable)
+	}
+}
+
+// request is what is known of a request once its key was checked.
+type request struct {
+	view   *view.View
+	holder view.Holder
+	// ctx ends when the caller leaves, the key is withdrawn or the host may
+	// not go on. Its cause is an *answer.Error for the last two.
+	ctx context.Context
+	// end must be called once.
+	end func()
+}
+
+// keyed checks the key and runs f for its workspace.
+func (h *Handler) keyed(ctx *fasthttp.RequestCtx, f func(*fasthttp.RequestCtx, *request)) {
+	r, err := h.authenticate(ctx)
+	if err == nil {
+		err = checkLeaks(ctx)
+	}
+	if err != nil {
+		if r != nil {
+			r.end()
+		}
+		h.cfg.Scope.Counter("refused_keys").Inc(1)
+		answer.WriteError(ctx, err)
+		return
+	}
+	f(ctx, r)
+}
+
+func (h *Handler) authenticate(ctx *fasthttp.RequestCtx) (*request, error) {
+	v, ok := h.cfg.View()
+	if !ok {
+		return nil, answer.NoConfig()
+	}
+	text, err := bearer(ctx)
+	if err != nil {
+		return nil, err
+	}
+	holder, ok := v.Authenticate(text)
+	if !ok {
+		return nil, &answer.Error{Status: http.StatusUnauthorized, Code: answer.CodeKeyRefused,
+			Message: "the key is unknown or withdrawn", Ran: attempt.RanNo}
+	}
+	r := h.newRequest(ctx, v, holder)
+	// The key may have been withdrawn between the check and the registration.
+	if now, ok := h.cfg.View(); !ok || !now.Holds(holder) {
+		r.end()
+		return nil, answer.NoConfig()
+	}
+	return r, nil
+}
+
+// newRequest registers a running request.
+func (h *Handler) newRequest(ctx *fasthttp.RequestCtx, v *view.View, holder view.Holder) *request {
+	traced := h.cfg.Tracer.Join(context.Background(), string(ctx.Request.Header.Peek("traceparent")))
+	c, cancel := context.WithCancelCause(traced)
+	c, endSpan := h.cfg.Tracer.Start(c, "request")
+	forget := h.sessions.add(holder, cancel)
+	unwatch := watch(ctx, cancel)
+	return &request{view: v, holder: holder, ctx: c, end: func() {
+		unwatch()
+		forget()
+		endSpan(nil)
+		cancel(nil)
+	}}
+}
+
+// errCallerLeft is the cause of a context whose caller closed its connection.
+var errCallerLeft = errors.New("the caller left")
+
+// watchPeriod is the period at which a caller's connection is looked at.
+const watchPeriod = 200 * time.Millisecond
+
+// watch cancels when the caller closes its connection.
+func watch(ctx *fasthttp.RequestCtx, cancel context.CancelCauseFunc) (stop func()) {
+	conn := ctx.Conn()
+	done := make(chan struct{})
+	go func() {
+		tick := time.NewTicker(watchPeriod)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-tick.C:
+			}
+			if socket.Peek(conn) == socket.Closed {
+				cancel(errCallerLeft)
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+// bearer returns the key's text. Exactly one Authorization header is allowed.
+func bearer(ctx *fasthttp.RequestCtx) (string, error) {
+	all := ctx.Request.Header.PeekAll("Authorization")
+	if len(all) != 1 {
+		return "", &answer.Error{Status: http.StatusUnauthorized, Code: answer.CodeKeyMissing,
+			Message: "exactly one header \"Authorization: Bearer <key>\" is required", Ran: attempt.RanNo}
+	}
+	scheme, text, _ := strings.Cut(string(all[0]), " ")
+	if !strings.EqualFold(scheme, "Bearer") || text == "" {
+		return "", &answer.Error{Status: http.StatusUnauthorized, Code: answer.CodeKeyMissing,
+			Message: "header \"Authorization\" must have the form \"Bearer <key>\"", Ran: attempt.RanNo}
+	}
+	return strings.TrimSpace(text), nil
+}
+
+// checkLeaks refuses requests with something like a key where it would be
+// passed on to a backend server.
+func checkLeaks(ctx *fasthttp.RequestCtx) error {
+	uri := string(ctx.RequestURI())
+	plain, err := url.QueryUnescape(uri)
+	if err != nil {
+		plain = uri
+	}
+	if strings.Contains(uri, view.KeyPrefix) || strings.Contains(plain, view.KeyPrefix) {
+		return keyLeaks("the address")
+	}
+	if bytes.Contains(ctx.PostBody(), []byte(view.KeyPrefix)) {
+		return keyLeaks("the body")
+	}
+	return nil
+}
+
+func keyLeaks(where string) error {
+	return &answer.Error{Status: http.StatusBadRequest, Code: answer.CodeKeyLeaks, Ran: attempt.RanNo,
+		Message: "a key must stand in the header \"Authorization\" only, not in " + where}
+}
+
+// job returns the dispatch job of a request for a pool.
+func (h *Handler) job(r *request, pool string) *dispatch.Job {
+	deadline := r.view.Deadline(r.holder.Workspace)
+	return &dispatch.Job{
+		Workspace: r.holder.Workspace,
+		Weight:    r.view.Weight(r.holder.Workspace),
+		Deadline:  time.Now().Add(deadline),
+		Want:      backendserver.Want{Pool: pool},
+	}
+}
+
+// defaultTimeout bounds plain requests of routes that name no time-out.
+const defaultTimeout = record.DefaultDeadlineMS * time.Millisecond
--- /dev/null
+++ b/pkg/connection/caller/completions.go
@@ -0,0 +1,277 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/maphash"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/plantainbank/plantainbank/pkg/connection/answer"
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
+	"github.com/plantainbank/plantainbank/pkg/request/dispatch"
+)
+
+// Limits of a completion.
+const (
+	defaultTokens = 64
+	mostTokens    = 1_000_000
+	// prefixBytes of a prompt decide which server has it cached.
+	prefixBytes = 256
+	// callerPriority is higher than that of rollouts.
+	callerPriority = 1
+	// streamBuffer is the number of tokens that a slow caller may lag behind.
+	streamBuffer = 256
+)
+
+// completionRequest is the body of a completion. Fields that this service
+// does not use are accepted and ignored, as model-serving clients send many.
+type completionRequest struct {
+	Model    string    `json:"model"`
+	Prompt   string    `json:"prompt"`
+	Messages []message `json:"messages"`
+	Tokens   int       `json:"max_tokens"`
+	Stream   bool      `json:"stream"`
+	Seed     *uint64   `json:"seed"`
+}
+
+// message is one message of a chat.
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// completion is a checked completion request.
+type completion struct {
+	id      string
+	chat    bool
+	model   string
+	pool    string
+	rollout string
+	generation
+	stream bool
+}
+
+type generation = dispatch.Generation
+
+func newRequestID() string { return fmt.Sprintf("req-%016x", rand.Uint64()) }
+
+// parseCompletion checks a body against the configuration.
+func (h *Handler) parseCompletion(ctx *fasthttp.RequestCtx, r *request) (*completion, error) {
+	if !ctx.IsPost() {
+		return nil, &answer.Error{Status: http.StatusMethodNotAllowed, Code: answer.CodeInvalid, Message: "use POST", Ran: attempt.RanNo}
+	}
+	var q completionRequest
+	if err := json.Unmarshal(ctx.PostBody(), &q); err != nil {
+		return nil, answer.Invalid("body", "is not a completion request: "+err.Error())
+	}
+	c := &completion{id: newRequestID(), chat: strings.HasSuffix(string(ctx.Path()), "/chat/completions"),
+		model: q.Model, pool: q.Model, stream: q.Stream}
+	if spec, ok := r.view.Rollouts[q.Model]; ok && spec.Workspace == r.holder.Workspace {
+		c.pool, c.rollout = spec.Pool, q.Model
+	}
+	c.Rollout, c.Prompt, c.Priority = c.rollout, q.Prompt, callerPriority
+	if c.chat {
+		c.Prompt = flatten(q.Messages)
+	}
+	switch {
+	case q.Model == "":
+		return nil, answer.Invalid("model", "is missing")
+	case c.Prompt == "":
+		return nil, answer.Invalid(promptField(c.chat), "is missing or empty")
+	case q.Tokens < 0 || q.Tokens > mostTokens:
+		return nil, answer.Invalid("max_tokens", fmt.Sprintf("must be 1 to %d", mostTokens))
+	case h.cfg.Sizes(c.pool) == 0:
+		return nil, &answer.Error{Status: http.StatusNotFound, Code: answer.CodeNoModel, Field: "model",
+			Message: fmt.Sprintf("no backend server serves the model %q", q.Model), Ran: attempt.RanNo}
+	}
+	c.generation.Tokens = q.Tokens
+	if q.Tokens == 0 {
+		c.generation.Tokens = defaultTokens
+	}
+	c.Seed = maphash.String(maphash.MakeSeed(), c.id)
+	if q.Seed != nil {
+		c.Seed = *q.Seed
+	}
+	return c, nil
+}
+
+func promptField(chat bool) string {
+	if chat {
+		return "messages"
+	}
+	return "prompt"
+}
+
+func flatten(messages []message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		fmt.Fprintf(&b, "%s: %s\n", m.Role, m.Content)
+	}
+	return b.String()
+}
+
+// completions serves whole and streamed completions.
+func (h *Handler) completions(ctx *fasthttp.RequestCtx, r *request) {
+	c, err := h.parseCompletion(ctx, r)
+	if err != nil {
+		r.end()
+		answer.WriteError(ctx, err)
+		return
+	}
+	j := h.job(r, c.pool)
+	j.Idempotent = true // sampling again changes nothing
+	j.Cost = float64(c.generation.Tokens)
+	j.Want.Prefix = c.Prompt[:min(len(c.Prompt), prefixBytes)]
+	if c.stream {
+		h.stream(ctx, r, j, c)
+		return
+	}
+	defer r.end()
+	g, err := h.cfg.Dispatcher.Generate(r.ctx, j, c.generation)
+	if err != nil {
+		h.cfg.Scope.Counter("completion_errors").Inc(1)
+		answer.WriteError(ctx, err)
+		return
+	}
+	answer.Write(ctx, http.StatusOK, c.whole(g))
+}
+
+// token is one step of a stream; err or done is set on the last one.
+type token struct {
+	text string
+	err  error
+	done *dispatch.Generated
+}
+
+// stream answers with server-sent events. The status is sent with the first
+// token, so a refusal still has its own status.
+func (h *Handler) stream(ctx *fasthttp.RequestCtx, r *request, j *dispatch.Job, c *completion) {
+	tokens := make(chan token, streamBuffer)
+	c.Token = func(text string) error {
+		select {
+		case tokens <- token{text: text}:
+			return nil
+		case <-r.ctx.Done():
+			return context.Cause(r.ctx)
+		}
+	}
+	go func() {
+		g, err := h.cfg.Dispatcher.Generate(r.ctx, j, c.generation)
+		select {
+		case tokens <- token{done: g, err: err}:
+		case <-r.ctx.Done():
+		}
+		close(tokens)
+	}()
+	first, ok := <-tokens
+	if !ok || first.err != nil {
+		defer r.end()
+		h.cfg.Scope.Counter("completion_errors").Inc(1)
+		if first.err == nil {
+			first.err = context.Cause(r.ctx)
+		}
+		answer.WriteError(ctx, first.err)
+		return
+	}
+	ctx.Response.Header.SetContentType("text/event-stream")
+	ctx.Response.Header.Set("Cache-Control", "no-cache")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer r.end()
+		h.writeTokens(w, r, c, first, tokens)
+	})
+}
+
+// writeTokens ends with "[DONE]" only if the answer is whole.
+func (h *Handler) writeTokens(w *bufio.Writer, r *request, c *completion, t token, tokens <-chan token) {
+	for ok := true; ok; t, ok = <-tokens {
+		if t.err != nil {
+			writeEvent(w, answer.Body(t.err))
+			return
+		}
+		if t.done != nil {
+			writeEvent(w, c.chunk("", t.done.Reason))
+			fmt.Fprint(w, "data: [DONE]\n\n")
+			w.Flush()
+			return
+		}
+		writeEvent(w, c.chunk(t.text, ""))
+		if w.Flush() != nil {
+			return // the caller left; ending the request cancels the work
+		}
+	}
+	writeEvent(w, answer.Body(context.Cause(r.ctx)))
+}
+
+func writeEvent(w *bufio.Writer, data []byte) {
+	fmt.Fprintf(w, "data: %s\n\n", data)
+	w.Flush()
+}
+
+// choice is one answer of a completion.
+type choice struct {
+	Index   int      `json:"index"`
+	Text    *string  `json:"text,omitempty"`
+	Message *message `json:"message,omitempty"`
+	Delta   *delta   `json:"delta,omitempty"`
+	Reason  *string  `json:"finish_reason"`
+}
+
+// delta is a part of a chat message.
+type delta struct {
+	Content string `json:"content"`
+}
+
+// completionAnswer is a whole answer or a chunk of a stream.
+type completionAnswer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type usage struct {
+	Tokens int `json:"completion_tokens"`
+}
+
+func (c *completion) answer(object string, x choice) completionAnswer {
+	return completionAnswer{ID: c.id, Object: object, Created: time.Now().Unix(), Model: c.model, Choices: []choice{x}}
+}
+
+func (c *completion) whole(g *dispatch.Generated) completionAnswer {
+	x := choice{Reason: &g.Reason}
+	object := "text_completion"
+	if c.chat {
+		object = "chat.completion"
+		x.Message = &message{Role: "assistant", Content: g.Text}
+	} else {
+		x.Text = &g.Text
+	}
+	out := c.answer(object, x)
+	out.Usage = &usage{Tokens: g.Tokens}
+	return out
+}
+
+func (c *completion) chunk(text, reason string) []byte {
+	x := choice{}
+	if reason != "" {
+		x.Reason = &reason
+	}
+	object := "text_completion"
+	if c.chat {
+		object = "chat.completion.chunk"
+		x.Delta = &delta{Content: text}
+	} else {
+		x.Text = &text
+	}
+	data, _ := json.Marshal(c.answer(object, x)) // a plain struct always encodes
+	return data
+}
--- /dev/null
+++ b/pkg/connection/caller/route.go
@@ -0,0 +1,142 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/plantainbank/plantainbank/pkg/connection/answer"
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
+	"github.com/plantainbank/plantainbank/pkg/version/record"
+	"github.com/plantainbank/plantainbank/pkg/version/view"
+)
+
+// requestHeader names a request towards the backend server, which may echo it.
+const requestHeader = "X-Request-Id"
+
+// hopHeaders end at the entry host (RFC 9110, section 7.6.1), and so do the
+// ones that carry a caller's secrets.
+var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization", "Expect"}
+
+// route serves a plain service behind a route record.
+func (h *Handler) route(ctx *fasthttp.RequestCtx, path string) {
+	v, ok := h.cfg.View()
+	if !ok {
+		answer.WriteError(ctx, answer.NoConfig())
+		return
+	}
+	spec, ok := v.Route(path)
+	if !ok {
+		answer.WriteError(ctx, &answer.Error{Status: http.StatusNotFound, Code: answer.CodeNoRoute,
+			Message: "no route leads to this path", Ran: attempt.RanNo})
+		return
+	}
+	if !spec.Open {
+		h.keyed(ctx, func(ctx *fasthttp.RequestCtx, r *request) { h.service(ctx, r, spec) })
+		return
+	}
+	if err := checkLeaks(ctx); err != nil {
+		answer.WriteError(ctx, err)
+		return
+	}
+	h.service(ctx, h.newRequest(ctx, v, view.Holder{}), spec)
+}
+
+// service passes one request on to a plain service.
+func (h *Handler) service(ctx *fasthttp.RequestCtx, r *request, spec record.Route) {
+	defer r.end()
+	timeout := defaultTimeout
+	if spec.Timeout > 0 {
+		timeout = time.Duration(spec.Timeout) * time.Millisecond
+	}
+	c, cancel := context.WithTimeout(r.ctx, timeout)
+	defer cancel()
+	j := h.job(r, spec.Pool)
+	j.Deadline = earlier(j.Deadline, time.Now().Add(timeout))
+	j.Idempotent = slices.Contains(spec.Idempotent, string(ctx.Method()))
+	j.Want.Steady = !j.Idempotent
+	req := forward(ctx)
+	res, _, err := h.cfg.Dispatcher.Call(c, j, req)
+	if err != nil {
+		h.cfg.Scope.Counter("service_errors").Inc(1)
+		answer.WriteError(ctx, err)
+		return
+	}
+	if crossed(req, res) {
+		answer.WriteError(ctx, &attempt.Error{Phase: "answer", Ran: attempt.RanYes,
+			Err: &attempt.CrossedError{Want: string(req.Header.Peek(requestHeader)), Got: string(res.Header.Peek(requestHeader))}})
+		return
+	}
+	h.cfg.Dispatcher.Served(r.holder.Workspace)
+	back(ctx, res)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// forward copies a caller's request without what ends here.
+func forward(ctx *fasthttp.RequestCtx) *fasthttp.Request {
+	req := &fasthttp.Request{}
+	ctx.Request.CopyTo(req)
+	for _, name := range connectionTokens(&ctx.Request.Header) {
+		req.Header.Del(name)
+	}
+	for _, name := range hopHeaders {
+		req.Header.Del(name)
+	}
+	var secret []string
+	for k, v := range req.Header.All() {
+		if strings.Contains(string(k), view.KeyPrefix) || strings.Contains(string(v), view.KeyPrefix) {
+			secret = append(secret, string(k))
+		}
+	}
+	for _, name := range secret {
+		req.Header.Del(name)
+	}
+	req.Header.Del("Traceparent")
+	req.Header.Set(requestHeader, newRequestID())
+	req.SetBody(ctx.PostBody()) // always framed by its length
+	return req
+}
+
+// connectionTokens lists the headers that a caller's Connection header names.
+func connectionTokens(h *fasthttp.RequestHeader) []string {
+	var out []string
+	for _, line := range h.PeekAll("Connection") {
+		for token := range strings.SplitSeq(string(line), ",") {
+			out = append(out, strings.TrimSpace(token))
+		}
+	}
+	return out
+}
+
+// crossed reports whether a backend server echoed another request's name.
+func crossed(req *fasthttp.Request, res *fasthttp.Response) bool {
+	echo := res.Header.Peek(requestHeader)
+	return len(echo) > 0 && string(echo) != string(req.Header.Peek(requestHeader))
+}
+
+// back copies a service's whole answer to the caller.
+func back(ctx *fasthttp.RequestCtx, res *fasthttp.Response) {
+	head := res.SkipBody
+	length := res.Header.ContentLength()
+	for _, name := range hopHeaders {
+		res.Header.Del(name)
+	}
+	res.Header.CopyTo(&ctx.Response.Header)
+	if head {
+		ctx.Response.SkipBody = true
+		ctx.Response.Header.SetContentLength(max(0, length))
+		return
+	}
+	ctx.Response.SetBody(res.Body())
+}
--- /dev/null
+++ b/pkg/process/control/records.go
@@ -0,0 +1,170 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/plantainbank/plantainbank/pkg/process/ledger"
+	"github.com/plantainbank/plantainbank/pkg/version/record"
+	pb "github.com/plantainbank/plantainbank/service/control"
+)
+
+// propose commits a command on the leader.
+func (s *Server) propose(ctx context.Context, c ledger.Command) (any, error) {
+	result, err := s.node.Propose(ctx, c.Encode())
+	if err != nil {
+		return nil, s.wireError(err)
+	}
+	return result, nil
+}
+
+// Submit commits or refuses one change. An error of code failed_precondition
+// means that nothing happened; any other one that the outcome is unknown.
+func (s *Server) Submit(ctx context.Context, c *pb.Change) (*pb.ChangeAnswer, error) {
+	if c.Request == "" {
+		return nil, twirp.RequiredArgumentError("request")
+	}
+	if err := s.leading(); err != nil {
+		return nil, err
+	}
+	change := ledger.Change{Request: c.Request, Replaces: c.Replaces, Record: record.Record{
+		Kind: c.Kind, Name: c.Name, Schema: int(c.Schema), Spec: c.Spec, Withdrawn: c.Withdraw}}
+	result, err := s.propose(ctx, ledger.Command{Change: &change})
+	if err != nil {
+		return nil, err
+	}
+	answer, ok := result.(ledger.ChangeResult)
+	if !ok {
+		return nil, twirp.InternalError("the change could not be applied")
+	}
+	s.scope.Counter("changes").Inc(1)
+	out := &pb.ChangeAnswer{Revision: answer.Revision, Refused: answer.Refused, Message: answer.Message}
+	if answer.Standing != nil {
+		out.Standing = wireRecord(*answer.Standing)
+	}
+	return out, nil
+}
+
+// List returns the records of a kind, converted to a schema if one is named.
+func (s *Server) List(ctx context.Context, q *pb.ListRequest) (*pb.Records, error) {
+	out := &pb.Records{}
+	err := s.onLeader(ctx, func() error {
+		out.Revision = s.ledger.Revision
+		for _, r := range s.ledger.List(q.Kind) {
+			if q.Name != "" && r.Name != q.Name {
+				continue
+			}
+			if q.Schema != 0 {
+				spec, err := record.Convert(r, int(q.Schema))
+				if err != nil {
+					return twirp.InvalidArgumentError("schema", err.Error())
+				}
+				r.Spec, r.Schema = spec, int(q.Schema)
+			}
+			out.Records = append(out.Records, wireRecord(r))
+		}
+		return nil
+	})
+	return out, err
+}
+
+// InForce waits until every entry host with a lease has a revision.
+func (s *Server) InForce(ctx context.Context, q *pb.InForceRequest) (*pb.InForceAnswer, error) {
+	out := &pb.InForceAnswer{}
+	deadline := time.Now().Add(time.Duration(q.Waitms) * time.Millisecond)
+	for {
+		err := s.onLeader(ctx, func() error {
+			out.Waiting = s.waitingFor(q.Revision, time.Now())
+			out.Inforce = len(out.Waiting) == 0
+			return nil
+		})
+		if err != nil || out.Inforce || time.Now().After(deadline) {
+			return out, err
+		}
+		select {
+		case <-ctx.Done():
+			return out, s.wireError(ctx.Err())
+		case <-time.After(inForcePeriod):
+		}
+	}
+}
+
+// inForcePeriod is the period at which InForce looks again.
+const inForcePeriod = 50 * time.Millisecond
+
+// waitingFor lists the hosts that may still act on an older revision.
+func (s *Server) waitingFor(revision uint64, now time.Time) []string {
+	r := s.reign
+	var out []string
+	if !r.settled(now) {
+		out = append(out, "hosts of the former leader")
+	}
+	for name, h := range r.hosts {
+		if r.leases.Live(name, now) && h.revision < revision {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Status shows the whole system at a glance.
+func (s *Server) Status(ctx context.Context, _ *pb.StatusRequest) (*pb.StatusAnswer, error) {
+	out := &pb.StatusAnswer{}
+	err := s.onLeader(ctx, func() error {
+		s.fillStatus(out, time.Now())
+		return nil
+	})
+	return out, err
+}
+
+func (s *Server) fillStatus(out *pb.StatusAnswer, now time.Time) {
+	st := s.node.Status()
+	l := s.ledger
+	out.Term, out.Leader, out.Commit, out.Revision = st.Term, s.cfg.Listen, st.Commit, l.Revision
+	out.Windows, out.Reported = l.Usage.Next, l.Usage.Reported
+	out.Records, out.Steps = uint32(len(l.Records)), uint32(len(l.Steps))
+	for _, m := range st.Members {
+		match := st.Match[m.ID]
+		if m.ID == st.ID {
+			match = st.Last
+		}
+		out.Replicas = append(out.Replicas, &pb.Replica{Id: uint64(m.ID), Addr: m.Addr, Learner: m.Learner,
+			Match: match, Leader: m.ID == st.ID})
+	}
+	for name, h := range s.reign.hosts {
+		out.Hosts = append(out.Hosts, &pb.Host{Host: name, Zone: h.zone, Revision: h.revision,
+			Incarnation: h.incarnation, Live: s.reign.leases.Live(name, now)})
+	}
+	slices.SortFunc(out.Hosts, func(a, b *pb.Host) int { return strings.Compare(a.Host, b.Host) })
+	for _, b := range s.reign.backends {
+		out.Backends = append(out.Backends, &pb.Backend{Announced: b.announced, Limit: uint32(b.ramp.Limit)})
+	}
+	slices.SortFunc(out.Backends, func(a, b *pb.Backend) int { return strings.Compare(a.Announced.Id, b.Announced.Id) })
+	s.fillZones(out)
+}
+
+func (s *Server) fillZones(out *pb.StatusAnswer) {
+	for _, r := range s.ledger.List(record.KindZone) {
+		z := &pb.ZoneOrder{Zone: r.Name, State: "in"}
+		if s.zoneOut(r.Name) {
+			z.State = "out"
+		}
+		for _, o := range s.ledger.Orders {
+			if o.Zone == r.Name {
+				z.Ordered += uint32(o.Steady + o.Cheap)
+				z.Number = max(z.Number, o.Number)
+			}
+		}
+		for _, b := range s.reign.backends {
+			if b.announced.Zone == r.Name {
+				z.Backends++
+			}
+		}
+		out.Zones = append(out.Zones, z)
+	}
+}
--- /dev/null
+++ b/pkg/process/control/reign.go
@@ -0,0 +1,283 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/plantainbank/plantainbank/pkg/process/lease"
+	"github.com/plantainbank/plantainbank/pkg/process/ledger"
+	"github.com/plantainbank/plantainbank/pkg/process/ramp"
+	"github.com/plantainbank/plantainbank/pkg/process/share"
+	"github.com/plantainbank/plantainbank/pkg/version/record"
+	pb "github.com/plantainbank/plantainbank/service/control"
+)
+
+// Periods of a reign.
+const (
+	// grantAllowance covers clock drift between an entry host and the leader.
+	grantAllowance = 200 * time.Millisecond
+	// backendTTL ends a backend server that no longer announces itself.
+	backendTTL = 4 * time.Second
+	// idleWeight is the part of the shares that is split without regard to
+	// demand, so that a host without demand can start at once.
+	idleWeight = 0.3
+)
+
+// reign is what a leader knows in one term beyond the ledger: leases, backend
+// servers, shares and claims. Entry hosts report enough to rebuild it.
+type reign struct {
+	term uint64
+	// since is the start of the reign.
+	since  time.Time
+	leases *lease.Table[string]
+	hosts  map[string]*host
+	shares *share.Allocator
+	// table counts the changes of backends. It starts above the numbers of
+	// earlier reigns.
+	table    uint64
+	backends map[string]*backend
+	// targets holds the wanted share by backend server and host.
+	targets map[string]map[string]int
+	claims  map[claimKey]*claim
+	// usage holds the latest counters of every incarnation of a host.
+	usage map[string]map[string]ledger.Counters
+	// turn rotates the rollout that is served first.
+	turn int
+}
+
+// host is an entry host with a lease.
+type host struct {
+	name        string
+	incarnation uint64
+	zone        string
+	// seq is the number of the latest renewal; older ones are ignored.
+	seq      uint64
+	revision uint64
+	demand   []*pb.Demand
+	usage    map[string]ledger.Counters
+	outcomes map[string]ramp.Counts
+	leaving  bool
+}
+
+// backend is a backend server that announces itself.
+type backend struct {
+	announced *pb.Announcement
+	heard     time.Time
+	ramp      *ramp.Ramp
+	counts    ramp.Counts
+	// swap is set while an order to load weights is under way.
+	swap swap
+}
+
+func newReign(term uint64, now time.Time, grant time.Duration) *reign {
+	return &reign{
+		term: term, since: now, table: term << 32,
+		leases:   lease.NewTable[string](grant, grantAllowance),
+		hosts:    map[string]*host{},
+		shares:   share.NewAllocator(),
+		backends: map[string]*backend{},
+		targets:  map[string]map[string]int{},
+		claims:   map[claimKey]*claim{},
+		usage:    map[string]map[string]ledger.Counters{},
+	}
+}
+
+// settled reports whether every lease of an earlier leader has ended, so that
+// hosts which have not reported hold nothing.
+func (r *reign) settled(now time.Time) bool {
+	return now.Sub(r.since) > r.leases.Period+r.leases.Allowance
+}
+
+// expire drops the hosts whose lease has ended and the backend servers that
+// fell silent. It returns whether anything changed.
+func (r *reign) expire(now time.Time) bool {
+	changed := false
+	for _, name := range r.leases.Expire(now) {
+		r.shares.Drop(name)
+		r.releaseClaims(name)
+		changed = true
+	}
+	for id, b := range r.backends {
+		if now.Sub(b.heard) <= backendTTL {
+			continue
+		}
+		r.shares.SetLimit(id, 0)
+		if r.shares.Remove(id) {
+			delete(r.backends, id)
+			r.table++
+			changed = true
+		}
+	}
+	return changed
+}
+
+// announce takes in a backend server's word, passed on by an entry host.
+func (r *reign) announce(a *pb.Announcement, now time.Time) {
+	b := r.backends[a.Id]
+	if b != nil && (a.Incarnation < b.announced.Incarnation ||
+		a.Incarnation == b.announced.Incarnation && a.Seq <= b.announced.Seq) {
+		return
+	}
+	if b == nil {
+		b = &backend{ramp: ramp.New(a.Incarnation, int(a.Bears))}
+		r.backends[a.Id] = b
+		r.table++
+	} else if tableDiffers(b.announced, a) {
+		r.table++
+	}
+	b.ramp.Announce(a.Incarnation, int(a.Bears))
+	b.announced = a
+	b.heard = now
+	r.shares.SetLimit(a.Id, b.ramp.Limit)
+}
+
+// tableDiffers reports whether entry hosts must hear of the change.
+func tableDiffers(a, b *pb.Announcement) bool {
+	return a.Incarnation != b.Incarnation || a.Leaving != b.Leaving || a.Addr != b.Addr || a.Zone != b.Zone ||
+		a.Pool != b.Pool || a.Class != b.Class || fmt.Sprint(a.Versions) != fmt.Sprint(b.Versions)
+}
+
+// observe adds the outcomes that a host counted since its last report.
+func (r *reign) observe(h *host, outcomes []*pb.Outcome) {
+	for _, o := range outcomes {
+		now := ramp.Counts{Served: o.Served, Refused: o.Refused, Failed: o.Failed}
+		before, known := h.outcomes[o.Backend]
+		h.outcomes[o.Backend] = now
+		b := r.backends[o.Backend]
+		if b == nil || !known || b.announced.Incarnation != o.Incarnation || now.Served < before.Served {
+			continue
+		}
+		b.counts.Served += now.Served - before.Served
+		b.counts.Refused += now.Refused - before.Refused
+		b.counts.Failed += now.Failed - before.Failed
+		if b.ramp.Observe(b.counts) {
+			r.shares.SetLimit(o.Backend, b.ramp.Limit)
+			r.table++
+		}
+	}
+}
+
+// adopt takes over the limits that a host knows from an earlier leader.
+func (r *reign) adopt(holdings []*pb.Holding, now time.Time) {
+	if r.settled(now) {
+		return
+	}
+	for _, h := range holdings {
+		b := r.backends[h.Backend]
+		if b == nil || b.announced.Incarnation != h.Incarnation {
+			continue
+		}
+		b.ramp.Adopt(int(h.Limit))
+		r.shares.SetLimit(h.Backend, b.ramp.Limit)
+	}
+}
+
+// retarget computes the wanted share of every host at every backend server:
+// workspaces get their fair part of each pool, and hosts get what their
+// workspaces' parts add up to.
+func (r *reign) retarget(weights map[string]float64, now time.Time) {
+	pools := map[string][]string{}
+	for id, b := range r.backends {
+		pools[b.announced.Pool] = append(pools[b.announced.Pool], id)
+	}
+	for pool, ids := range pools {
+		claims := r.hostClaims(pool, r.capacity(ids), weights, now)
+		for _, id := range ids {
+			r.targets[id] = share.Divide(r.backends[id].ramp.Limit, claims, func(h string) uint64 {
+				return xxh3.HashString(id + "/" + h)
+			})
+		}
+	}
+}
+
+func (r *reign) capacity(ids []string) float64 {
+	sum := 0
+	for _, id := range ids {
+		sum += r.backends[id].ramp.Limit
+	}
+	return float64(sum)
+}
+
+// hostClaims returns each live host's weight in a pool.
+func (r *reign) hostClaims(pool string, capacity float64, weights map[string]float64, now time.Time) []share.Claim {
+	demand := map[string]float64{}
+	byHost := map[string]map[string]float64{}
+	live := 0
+	for name, h := range r.hosts {
+		if !r.leases.Live(name, now) || h.leaving {
+			continue
+		}
+		live++
+		byHost[name] = map[string]float64{}
+		for _, d := range h.demand {
+			if d.Pool == pool {
+				demand[d.Workspace] += float64(d.Amount)
+				byHost[name][d.Workspace] = float64(d.Amount)
+			}
+		}
+	}
+	var wants []share.Want
+	for w, amount := range demand {
+		wants = append(wants, share.Want{Party: w, Weight: weightOf(weights, w), Amount: amount})
+	}
+	fair := share.FairSplit(capacity, wants)
+	var claims []share.Claim
+	for name, amounts := range byHost {
+		weight := idleWeight * max(capacity, 1) / float64(live)
+		for w, amount := range amounts {
+			if demand[w] > 0 {
+				weight += fair[w] * amount / demand[w]
+			}
+		}
+		claims = append(claims, share.Claim{Holder: name, Weight: weight})
+	}
+	return claims
+}
+
+func weightOf(weights map[string]float64, workspace string) float64 {
+	if w, ok := weights[workspace]; ok {
+		return w
+	}
+	return 1
+}
+
+// workspaceWeights returns the weight of every workspace.
+func (s *Server) workspaceWeights() map[string]float64 {
+	out := map[string]float64{}
+	for _, r := range s.ledger.Records {
+		if r.Kind == record.KindWorkspace {
+			if spec, err := record.Decode[record.Workspace](r); err == nil {
+				out[r.Name] = spec.Weight
+			}
+		}
+	}
+	return out
+}
+
+// zoneOut reports whether an availability zone is out.
+func (s *Server) zoneOut(name string) bool {
+	r, ok := s.ledger.Records[ledger.Key(record.KindZone, name)]
+	if !ok {
+		return false
+	}
+	spec, err := record.Decode[record.Zone](r)
+	return err == nil && spec.State == "out"
+}
+
+// maintainReign runs the periodic work of a leader on the control goroutine.
+func (s *Server) maintainReign() {
+	r := s.reign
+	if r == nil {
+		return
+	}
+	now := time.Now()
+	before := r.table
+	if r.expire(now) || r.table != before {
+		s.notify()
+	}
+	r.retarget(s.workspaceWeights(), now)
+	s.scope.Gauge("entry_hosts").Update(float64(r.leases.Len()))
+	s.scope.Gauge("backend_servers").Update(float64(len(r.backends)))
+}
--- /dev/null
+++ b/pkg/process/control/renew.go
@@ -0,0 +1,227 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/plantainbank/plantainbank/pkg/process/ledger"
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+	"github.com/plantainbank/plantainbank/pkg/process/ramp"
+	"github.com/plantainbank/plantainbank/pkg/process/share"
+	"github.com/plantainbank/plantainbank/pkg/version/record"
+	pb "github.com/plantainbank/plantainbank/service/control"
+)
+
+// leaderMeta is the error detail that holds the leader's address.
+const leaderMeta = "leader"
+
+// leading returns nil if this process leads with a valid lease.
+func (s *Server) leading() error {
+	if _, _, ok := s.node.Holds(); ok {
+		return nil
+	}
+	st := s.node.Status()
+	return s.wireError(&quorum.NotLeaderError{Leader: st.Leader, Addr: st.LeaderAddr})
+}
+
+// wireError turns an error into one that twirp carries.
+func (s *Server) wireError(err error) error {
+	var notLeader *quorum.NotLeaderError
+	var unknown *quorum.UnknownOutcomeError
+	var members *quorum.MembershipError
+	switch {
+	case errors.As(err, &notLeader):
+		addr := notLeader.Addr
+		if addr == s.cfg.Listen {
+			addr = ""
+		}
+		return twirp.NewError(twirp.FailedPrecondition, "not the leader").WithMeta(leaderMeta, addr)
+	case errors.As(err, &unknown):
+		return twirp.NewError(twirp.Unavailable, unknown.Error())
+	case errors.As(err, &members):
+		return twirp.NewError(twirp.Aborted, members.Error())
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return twirp.NewError(twirp.DeadlineExceeded, err.Error())
+	}
+	return twirp.InternalErrorWith(err)
+}
+
+// onLeader runs f on the control goroutine if this process leads.
+func (s *Server) onLeader(ctx context.Context, f func() error) error {
+	var inner error
+	err := s.do(ctx, func() {
+		if inner = s.leading(); inner != nil {
+			return
+		}
+		if s.reign == nil {
+			inner = s.wireError(&quorum.NotLeaderError{})
+			return
+		}
+		inner = f()
+	})
+	if err != nil {
+		return s.wireError(err)
+	}
+	return inner
+}
+
+// await calls look on the control goroutine until it reports true, the wait is
+// over or ctx ends. look runs at least once.
+func (s *Server) await(ctx context.Context, wait time.Duration, look func() (bool, error)) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for last := wait <= 0; ; {
+		var done bool
+		var changed chan struct{}
+		err := s.onLeader(ctx, func() (err error) {
+			done, err = look()
+			changed = s.changed
+			return err
+		})
+		if err != nil || done || last {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return s.wireError(ctx.Err())
+		case <-timer.C:
+			last = true
+		case <-changed:
+		}
+	}
+}
+
+// Renew takes in an entry host's report and extends its lease. It answers at
+// once if there is news, and otherwise when some arrives or the wait is over.
+func (s *Server) Renew(ctx context.Context, q *pb.RenewRequest) (*pb.Grant, error) {
+	if q.Host == "" || q.Incarnation == 0 {
+		return nil, twirp.InvalidArgumentError("host", "and incarnation are required")
+	}
+	arrived := time.Now()
+	err := s.onLeader(ctx, func() error { return s.report(q, arrived) })
+	if err != nil {
+		return nil, err
+	}
+	wait := time.Duration(q.Waitms) * time.Millisecond
+	err = s.await(ctx, wait, func() (bool, error) { return s.news(q), nil })
+	if err != nil {
+		return nil, err
+	}
+	var g *pb.Grant
+	err = s.onLeader(ctx, func() error {
+		g = s.grant(q, time.Now())
+		return nil
+	})
+	return g, err
+}
+
+// report stores what a host says of itself and grants its lease.
+func (s *Server) report(q *pb.RenewRequest, arrived time.Time) error {
+	r := s.reign
+	h := r.hosts[q.Host]
+	if h == nil || q.Incarnation > h.incarnation {
+		h = &host{name: q.Host, incarnation: q.Incarnation, outcomes: map[string]ramp.Counts{}}
+		r.hosts[q.Host] = h
+	}
+	if q.Incarnation < h.incarnation || q.Seq <= h.seq {
+		return twirp.NewError(twirp.AlreadyExists, "a later report was taken in")
+	}
+	h.seq, h.zone, h.revision, h.demand, h.leaving = q.Seq, q.Zone, q.Revision, q.Demands, q.Leaving
+	h.usage = countersOf(q.Usage)
+	s.takeUsage(h)
+	before := r.table
+	for _, a := range q.Announcements {
+		r.announce(a, arrived)
+	}
+	r.adopt(q.Holdings, arrived)
+	r.observe(h, q.Outcomes)
+	r.shares.Report(q.Host, holdingsOf(q.Holdings))
+	r.leases.Grant(q.Host, arrived)
+	if r.table != before {
+		s.notify()
+	}
+	s.scope.Counter("renewals").Inc(1)
+	return nil
+}
+
+func countersOf(usage []*pb.Usage) map[string]ledger.Counters {
+	out := make(map[string]ledger.Counters, len(usage))
+	for _, u := range usage {
+		out[u.Workspace] = ledger.Counters{Requests: u.Requests, Tokens: u.Tokens}
+	}
+	return out
+}
+
+func holdingsOf(holdings []*pb.Holding) map[string]share.Holding {
+	out := make(map[string]share.Holding, len(holdings))
+	for _, h := range holdings {
+		out[h.Backend] = share.Holding{Share: int(h.Share), Running: int(h.Running)}
+	}
+	return out
+}
+
+// news reports whether a host lacks something that the leader knows.
+func (s *Server) news(q *pb.RenewRequest) bool {
+	r := s.reign
+	if q.Leaving || q.Revision != s.ledger.Revision || q.Term != r.term {
+		return true
+	}
+	return r.settled(time.Now()) && q.Table != r.table
+}
+
+// grant builds the answer to a renewal.
+func (s *Server) grant(q *pb.RenewRequest, now time.Time) *pb.Grant {
+	r := s.reign
+	g := &pb.Grant{Term: r.term, Revision: s.ledger.Revision, Table: q.Table,
+		Durationms: uint32(r.leases.Period / time.Millisecond), Openslots: uint32(s.openSlots())}
+	if q.Revision != s.ledger.Revision {
+		records, full := s.ledger.Since(q.Revision)
+		g.Full = full
+		for _, x := range records {
+			g.Records = append(g.Records, wireRecord(x))
+		}
+	}
+	for rollout, version := range s.ledger.Versions {
+		g.Versions = append(g.Versions, &pb.TrainerVersion{Trainer: rollout, Version: version})
+	}
+	// Until the reign is settled the table may lack servers that stand.
+	if r.settled(now) && q.Table != r.table {
+		g.Table, g.Tablesent = r.table, true
+		for _, b := range r.backends {
+			g.Backends = append(g.Backends, &pb.Backend{Announced: b.announced, Limit: uint32(b.ramp.Limit)})
+		}
+	}
+	g.Shares = s.grantShares(q, now)
+	return g
+}
+
+// grantShares moves a host's shares towards their targets.
+func (s *Server) grantShares(q *pb.RenewRequest, now time.Time) []*pb.Share {
+	r := s.reign
+	had := map[string]int{}
+	for _, h := range q.Holdings {
+		had[h.Backend] = int(h.Share)
+	}
+	var out []*pb.Share
+	for id, b := range r.backends {
+		want := r.targets[id][q.Host]
+		switch {
+		case b.announced.Leaving || q.Leaving || s.zoneOut(b.announced.Zone):
+			want = 0
+		case !r.settled(now):
+			want = had[id]
+		}
+		if n := r.shares.Grant(q.Host, id, want); n > 0 {
+			out = append(out, &pb.Share{Backend: id, Share: uint32(n)})
+		}
+	}
+	return out
+}
+
+func wireRecord(r record.Record) *pb.Record {
+	return &pb.Record{Kind: r.Kind, Name: r.Name, Schema: uint32(r.Schema), Revision: r.Revision,
+		Spec: r.Spec, Withdrawn: r.Withdrawn}
+}
--- /dev/null
+++ b/pkg/process/control/steps.go
@@ -0,0 +1,372 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/plantainbank/plantainbank/pkg/process/ledger"
+	pb "github.com/plantainbank/plantainbank/service/control"
+)
+
+// Limits of the work on steps.
+const (
+	mostDelivered = 256
+	// hedgeShare is the part of a step's slots that may be hedged.
+	hedgeShare = 0.1
+	// hedgeFactor is how many typical production times a slot must have been
+	// in work before a second host may produce it too.
+	hedgeFactor = 2
+	// hedgeFloor keeps very short productions from being hedged at once.
+	hedgeFloor = 300 * time.Millisecond
+)
+
+// claimKey names a slot that is in work.
+type claimKey struct {
+	step string
+	slot int
+}
+
+// claim is a slot in work on an entry host.
+type claim struct {
+	host    string
+	attempt uint32
+	start   time.Time
+	until   time.Time
+	hedged  bool
+}
+
+func (r *reign) releaseClaims(host string) {
+	for k, c := range r.claims {
+		if c.host == host {
+			delete(r.claims, k)
+		}
+	}
+}
+
+// openSlots counts the slots that no host works on.
+func (s *Server) openSlots() int {
+	n := 0
+	for _, step := range s.ledger.Steps {
+		n += len(step.Slots) - step.Filled()
+	}
+	return max(0, n-len(s.reign.claims))
+}
+
+// Open opens a step; the same step again is no change.
+func (s *Server) Open(ctx context.Context, q *pb.OpenRequest) (*pb.Step, error) {
+	if err := s.leading(); err != nil {
+		return nil, err
+	}
+	result, err := s.propose(ctx, ledger.Command{Open: &ledger.Open{Rollout: q.Rollout, Workspace: q.Workspace,
+		Number: q.Number, Prompts: q.Prompts, Samples: int(q.Samples), Tokens: int(q.Maxtokens)}})
+	if err != nil {
+		return nil, err
+	}
+	return s.stepAnswer(ctx, result, &pb.StepName{Rollout: q.Rollout, Number: q.Number, Workspace: q.Workspace})
+}
+
+func (s *Server) stepAnswer(ctx context.Context, result any, name *pb.StepName) (*pb.Step, error) {
+	if r, ok := result.(ledger.StepResult); !ok || r.Refused != "" {
+		return &pb.Step{Rollout: name.Rollout, Number: name.Number, Refused: r.Refused, Message: r.Message}, nil
+	}
+	return s.Show(ctx, name)
+}
+
+// Show returns the progress of a step.
+func (s *Server) Show(ctx context.Context, q *pb.StepName) (*pb.Step, error) {
+	var out *pb.Step
+	err := s.onLeader(ctx, func() error {
+		out = s.showStep(q)
+		return nil
+	})
+	return out, err
+}
+
+// showStep runs on the control goroutine. An empty workspace is an operator's.
+func (s *Server) showStep(q *pb.StepName) *pb.Step {
+	step := s.ledger.Steps[ledger.StepKey(q.Rollout, q.Number)]
+	if step == nil || (q.Workspace != "" && step.Workspace != q.Workspace) {
+		return &pb.Step{Rollout: q.Rollout, Number: q.Number, Refused: ledger.RefusedMissing, Message: "no such step stands"}
+	}
+	return &pb.Step{Rollout: step.Rollout, Number: step.Number, Slots: uint32(len(step.Slots)),
+		Filled: uint32(step.Filled()), Assigned: uint32(len(step.Order)), Acknowledged: step.Acked,
+		Version: s.ledger.Versions[step.Rollout], Toold: uint32(step.TooOld)}
+}
+
+// Claim leases slots to an entry host.
+func (s *Server) Claim(ctx context.Context, q *pb.ClaimRequest) (*pb.Claims, error) {
+	out := &pb.Claims{}
+	err := s.await(ctx, time.Duration(q.Waitms)*time.Millisecond, func() (bool, error) {
+		now := time.Now()
+		if !s.reign.leases.Live(q.Host, now) {
+			return true, nil
+		}
+		out.Claims = s.claim(q.Host, int(q.Most), now)
+		return len(out.Claims) > 0, nil
+	})
+	return out, err
+}
+
+// claim takes slots of all rollouts in turn, the oldest step of each first.
+func (s *Server) claim(host string, most int, now time.Time) []*pb.Claim {
+	queues := s.openSteps()
+	var out []*pb.Claim
+	for i := range queues {
+		steps := queues[(i+s.reign.turn)%len(queues)]
+		part := (most-len(out)-1)/(len(queues)-i) + 1
+		for _, step := range steps {
+			out = append(out, s.claimSlots(step, host, min(part, most-len(out)), now)...)
+		}
+	}
+	s.reign.turn++
+	return out
+}
+
+// openSteps returns the unfinished steps of each rollout in order.
+func (s *Server) openSteps() [][]*ledger.Step {
+	byRollout := map[string][]*ledger.Step{}
+	var names []string
+	for _, step := range s.ledger.Steps {
+		if step.Filled() == len(step.Slots) {
+			continue
+		}
+		if byRollout[step.Rollout] == nil {
+			names = append(names, step.Rollout)
+		}
+		byRollout[step.Rollout] = append(byRollout[step.Rollout], step)
+	}
+	slices.Sort(names)
+	var out [][]*ledger.Step
+	for _, n := range names {
+		steps := byRollout[n]
+		slices.SortFunc(steps, func(a, b *ledger.Step) int { return int(a.Number) - int(b.Number) })
+		out = append(out, steps)
+	}
+	return out
+}
+
+func (s *Server) claimSlots(step *ledger.Step, host string, most int, now time.Time) []*pb.Claim {
+	key := ledger.StepKey(step.Rollout, step.Number)
+	var out []*pb.Claim
+	for i := range step.Slots {
+		if len(out) >= most {
+			return out
+		}
+		slot := &step.Slots[i]
+		if slot.Sample != nil || slot.Position != 0 {
+			continue
+		}
+		k := claimKey{key, i}
+		if c := s.reign.claims[k]; c != nil && now.Before(c.until) && c.attempt == slot.Attempt {
+			continue
+		}
+		s.reign.claims[k] = &claim{host: host, attempt: slot.Attempt, start: now, until: now.Add(time.Duration(s.cfg.Claim))}
+		out = append(out, s.wireClaim(step, i, false))
+	}
+	if len(out) == 0 {
+		out = s.hedge(step, host, most, now)
+	}
+	return out
+}
+
+// hedge hands the slowest slots of a step's end to a second host.
+func (s *Server) hedge(step *ledger.Step, host string, most int, now time.Time) []*pb.Claim {
+	budget := int(hedgeShare*float64(len(step.Slots))) + 1
+	open := len(step.Slots) - step.Filled()
+	if open > budget || s.typical == 0 {
+		return nil
+	}
+	key := ledger.StepKey(step.Rollout, step.Number)
+	var out []*pb.Claim
+	for i := range step.Slots {
+		c := s.reign.claims[claimKey{key, i}]
+		if c == nil || c.hedged || step.Slots[i].Sample != nil || len(out) >= most {
+			continue
+		}
+		if now.Sub(c.start) > max(hedgeFloor, hedgeFactor*s.typical) {
+			c.hedged = true
+			s.scope.Counter("hedges").Inc(1)
+			out = append(out, s.wireClaim(step, i, true))
+		}
+	}
+	return out
+}
+
+func (s *Server) wireClaim(step *ledger.Step, i int, hedge bool) *pb.Claim {
+	newest := s.ledger.Versions[step.Rollout]
+	return &pb.Claim{Rollout: step.Rollout, Number: step.Number, Group: uint32(i / step.Samples), Slot: uint32(i),
+		Attempt: step.Slots[i].Attempt, Prompt: step.Prompts[i/step.Samples], Maxtokens: uint32(step.Tokens),
+		Workspace: step.Workspace, Pool: step.Pool, Scorer: step.Scorer,
+		Leasems: uint32(time.Duration(s.cfg.Claim) / time.Millisecond), Minversion: newest - min(newest, step.Age), Hedge: hedge}
+}
+
+// Commit stores samples and frees the slots of failed claims.
+func (s *Server) Commit(ctx context.Context, q *pb.CommitRequest) (*pb.CommitAnswer, error) {
+	if err := s.leading(); err != nil {
+		return nil, err
+	}
+	err := s.onLeader(ctx, func() error {
+		s.finishClaims(q, time.Now())
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(q.Samples) == 0 {
+		return &pb.CommitAnswer{}, nil
+	}
+	result, err := s.propose(ctx, ledger.Command{Commit: commitOf(q)})
+	if err != nil {
+		return nil, err
+	}
+	stored, _ := result.(int)
+	s.scope.Counter("samples").Inc(int64(stored))
+	return &pb.CommitAnswer{Stored: uint32(stored)}, nil
+}
+
+// finishClaims learns the typical production time and lets failed slots be
+// claimed again.
+func (s *Server) finishClaims(q *pb.CommitRequest, now time.Time) {
+	for _, x := range q.Samples {
+		k := claimKey{ledger.StepKey(x.Rollout, x.Number), int(x.Slot)}
+		if c := s.reign.claims[k]; c != nil {
+			s.typical += (now.Sub(c.start) - s.typical) / typicalWindow
+			delete(s.reign.claims, k)
+		}
+	}
+	for _, x := range q.Released {
+		k := claimKey{ledger.StepKey(x.Rollout, x.Number), int(x.Slot)}
+		if c := s.reign.claims[k]; c != nil && c.host == q.Host && c.attempt == x.Attempt {
+			delete(s.reign.claims, k)
+		}
+	}
+	if len(q.Released) > 0 {
+		s.notify()
+	}
+}
+
+// typicalWindow is the weight of history in the moving average.
+const typicalWindow = 16
+
+func commitOf(q *pb.CommitRequest) *ledger.Commit {
+	c := &ledger.Commit{}
+	for _, x := range q.Samples {
+		p := ledger.Produced{
+			Place:  ledger.Place{Rollout: x.Rollout, Number: x.Number, Slot: int(x.Slot), Attempt: x.Attempt},
+			Sample: ledger.Sample{Text: x.Text, Backend: x.Backend, Host: x.Host, Score: x.Score}}
+		for _, sp := range x.Spans {
+			p.Sample.Spans = append(p.Sample.Spans, ledger.Span{Version: sp.Version, From: sp.From, To: sp.To})
+		}
+		c.Samples = append(c.Samples, p)
+	}
+	return c
+}
+
+// Deliver assigns positions to what is ready and returns the samples from a
+// position on. It waits for the first sample if there is none yet.
+func (s *Server) Deliver(ctx context.Context, q *pb.DeliverRequest) (*pb.Delivery, error) {
+	wait := time.Duration(q.Waitms) * time.Millisecond
+	for deadline := time.Now().Add(wait); ; {
+		if err := s.assign(ctx, q); err != nil {
+			return nil, err
+		}
+		var out *pb.Delivery
+		err := s.await(ctx, max(0, time.Until(deadline)), func() (bool, error) {
+			out = s.delivery(q)
+			return len(out.Samples) > 0 || out.Step.Refused != "" || out.Step.Acknowledged == out.Step.Slots || s.assignable(q), nil
+		})
+		if err != nil || len(out.Samples) > 0 || !time.Now().Before(deadline) || out.Step.Refused != "" {
+			return out, err
+		}
+		if out.Step.Acknowledged == out.Step.Slots {
+			return out, nil
+		}
+	}
+}
+
+func (s *Server) assignable(q *pb.DeliverRequest) bool {
+	step := s.ledger.Steps[ledger.StepKey(q.Rollout, q.Number)]
+	return step != nil && step.Workspace == q.Workspace && step.Assignable()
+}
+
+func (s *Server) assign(ctx context.Context, q *pb.DeliverRequest) error {
+	ready := false
+	err := s.onLeader(ctx, func() error {
+		ready = s.assignable(q)
+		return nil
+	})
+	if err != nil || !ready {
+		return err
+	}
+	_, err = s.propose(ctx, ledger.Command{Assign: &ledger.Assign{Rollout: q.Rollout, Number: q.Number}})
+	return err
+}
+
+func (s *Server) delivery(q *pb.DeliverRequest) *pb.Delivery {
+	out := &pb.Delivery{Step: s.showStep(&pb.StepName{Rollout: q.Rollout, Number: q.Number, Workspace: q.Workspace})}
+	if out.Step.Refused != "" {
+		return out
+	}
+	step := s.ledger.Steps[ledger.StepKey(q.Rollout, q.Number)]
+	most := min(max(1, int(q.Most)), mostDelivered)
+	if q.From <= step.Acked && step.Acked < uint32(len(step.Slots)) && q.From != 0 {
+		out.Step.Refused, out.Step.Message = ledger.RefusedConflict, "field \"from\" is already acknowledged"
+		return out
+	}
+	for p := max(q.From, step.Acked+1); int(p) <= len(step.Order) && len(out.Samples) < most; p++ {
+		out.Samples = append(out.Samples, wireSample(step, step.Order[p-1]))
+	}
+	return out
+}
+
+func wireSample(step *ledger.Step, i int) *pb.Sample {
+	slot := step.Slots[i]
+	out := &pb.Sample{Rollout: step.Rollout, Number: step.Number, Group: uint32(i / step.Samples),
+		Slot: uint32(i), Attempt: slot.Attempt, Text: slot.Sample.Text, Backend: slot.Sample.Backend,
+		Host: slot.Sample.Host, Score: slot.Sample.Score, Position: slot.Position, Age: slot.Age}
+	for _, sp := range slot.Sample.Spans {
+		out.Spans = append(out.Spans, &pb.Span{Version: sp.Version, From: sp.From, To: sp.To})
+	}
+	return out
+}
+
+// Acknowledge moves a step's acknowledged position on.
+func (s *Server) Acknowledge(ctx context.Context, q *pb.AckRequest) (*pb.Step, error) {
+	name := &pb.StepName{Rollout: q.Rollout, Number: q.Number, Workspace: q.Workspace}
+	step, err := s.Show(ctx, name)
+	if err != nil || step.Refused != "" {
+		return step, err
+	}
+	result, err := s.propose(ctx, ledger.Command{Ack: &ledger.Ack{Rollout: q.Rollout, Number: q.Number, Position: q.Position}})
+	if err != nil {
+		return nil, err
+	}
+	return s.stepAnswer(ctx, result, name)
+}
+
+// Publish names a rollout's newest weight version. Versions never go back.
+func (s *Server) Publish(ctx context.Context, q *pb.Weights) (*pb.Weights, error) {
+	owned := false
+	err := s.onLeader(ctx, func() error {
+		_, owned = s.ledger.Rollout(q.Rollout, q.Workspace)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !owned {
+		return &pb.Weights{Refused: ledger.RefusedMissing, Message: "field \"rollout\" names no rollout configuration of this workspace"}, nil
+	}
+	result, err := s.propose(ctx, ledger.Command{Publish: &ledger.Publish{Rollout: q.Rollout, Version: q.Version}})
+	if err != nil {
+		return nil, err
+	}
+	version, ok := result.(uint64)
+	if !ok {
+		return nil, twirp.InternalError("the version could not be applied")
+	}
+	return &pb.Weights{Rollout: q.Rollout, Version: version, Workspace: q.Workspace}, nil
+}
--- /dev/null
+++ b/pkg/process/ledger/change.go
@@ -0,0 +1,214 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/plantainbank/plantainbank/pkg/version/record"
+)
+
+// Limits on what the ledger remembers.
+const (
+	mostAnswers = 20_000
+	mostGone    = 5_000
+)
+
+// Change submits or withdraws one record.
+type Change struct {
+	// Request is the operator's number for this change. A resend under the
+	// same number gets the first answer again.
+	Request string        `json:"request"`
+	Record  record.Record `json:"record"`
+	// Replaces is the revision of the record that this change was made from;
+	// zero means that no such record may stand.
+	Replaces uint64 `json:"replaces"`
+}
+
+// Reasons why a change is refused.
+const (
+	RefusedInvalid  = "invalid"
+	RefusedConflict = "conflict"
+	RefusedReuse    = "request_reused"
+	RefusedMissing  = "missing"
+)
+
+// ChangeResult is the answer to a change. Refused is empty if the change holds.
+type ChangeResult struct {
+	Revision uint64 `json:"revision,omitempty"`
+	Refused  string `json:"refused,omitempty"`
+	Message  string `json:"message,omitempty"`
+	// Standing is the record that stands after a conflict.
+	Standing *record.Record `json:"standing,omitempty"`
+}
+
+// Answered is the remembered answer to a request number.
+type Answered struct {
+	Digest [sha256.Size]byte `json:"digest"`
+	Result ChangeResult      `json:"result"`
+}
+
+// Key returns the key of a record in Ledger.Records.
+func Key(kind, name string) string { return kind + "/" + name }
+
+func digest(v any) [sha256.Size]byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // plain structs always encode
+	}
+	return sha256.Sum256(data)
+}
+
+func (l *Ledger) change(c Change) ChangeResult {
+	sum := digest(c)
+	if old, ok := l.Answers[c.Request]; ok {
+		if old.Digest == sum {
+			return old.Result
+		}
+		return ChangeResult{Refused: RefusedReuse, Message: "the request number was used for another change"}
+	}
+	result := l.decide(c)
+	l.remember(c.Request, Answered{sum, result})
+	return result
+}
+
+func (l *Ledger) remember(request string, a Answered) {
+	l.Answers[request] = a
+	l.AnswerOrder = append(l.AnswerOrder, request)
+	if len(l.AnswerOrder) > mostAnswers {
+		delete(l.Answers, l.AnswerOrder[0])
+		l.AnswerOrder = l.AnswerOrder[1:]
+	}
+}
+
+func (l *Ledger) decide(c Change) ChangeResult {
+	if err := record.Check(c.Record); err != nil {
+		return ChangeResult{Refused: RefusedInvalid, Message: err.Error()}
+	}
+	standing, stands := l.Records[Key(c.Record.Kind, c.Record.Name)]
+	if c.Record.Withdrawn && !stands {
+		return ChangeResult{Refused: RefusedMissing, Message: "no such record stands"}
+	}
+	if standing.Revision != c.Replaces {
+		return conflict(standing, stands)
+	}
+	if message := l.missingReference(c.Record); message != "" {
+		return ChangeResult{Refused: RefusedMissing, Message: message}
+	}
+	l.Revision++
+	if c.Record.Withdrawn {
+		l.withdraw(standing)
+	} else {
+		r := c.Record
+		r.Revision = l.Revision
+		l.Records[Key(r.Kind, r.Name)] = r
+	}
+	return ChangeResult{Revision: l.Revision}
+}
+
+func conflict(standing record.Record, stands bool) ChangeResult {
+	r := ChangeResult{Refused: RefusedConflict, Message: "no such record stands"}
+	if stands {
+		r.Message = "another revision stands"
+		r.Standing = &standing
+	}
+	return r
+}
+
+// owner returns the workspace that a record belongs to, or empty.
+func owner(r record.Record) string {
+	switch r.Kind {
+	case record.KindKey:
+		k, _ := record.Decode[record.Key](r)
+		return k.Workspace
+	case record.KindRollout:
+		s, _ := record.Decode[record.Rollout](r)
+		return s.Workspace
+	}
+	return ""
+}
+
+func (l *Ledger) missingReference(r record.Record) string {
+	if r.Withdrawn {
+		return ""
+	}
+	w := owner(r)
+	if _, ok := l.Records[Key(record.KindWorkspace, w)]; w != "" && !ok {
+		return "field \"workspace\" names " + w + ", which does not stand"
+	}
+	return ""
+}
+
+// withdraw removes a record. Keys and rollouts go with their workspace, so a
+// workspace that is created again under the same name inherits nothing.
+func (l *Ledger) withdraw(r record.Record) {
+	l.remove(r)
+	if r.Kind != record.KindWorkspace {
+		return
+	}
+	var owned []string
+	for k, x := range l.Records {
+		if owner(x) == r.Name {
+			owned = append(owned, k)
+		}
+	}
+	slices.Sort(owned)
+	for _, k := range owned {
+		l.remove(l.Records[k])
+	}
+	for k, s := range l.Steps {
+		if s.Workspace == r.Name {
+			delete(l.Steps, k)
+		}
+	}
+}
+
+func (l *Ledger) remove(r record.Record) {
+	delete(l.Records, Key(r.Kind, r.Name))
+	l.Gone = append(l.Gone, record.Record{Kind: r.Kind, Name: r.Name, Revision: l.Revision, Withdrawn: true})
+	if len(l.Gone) > mostGone {
+		l.Forgotten = l.Gone[0].Revision
+		l.Gone = l.Gone[1:]
+	}
+}
+
+// Since returns the records that changed after a revision, in order of
+// revision. full is true if the ledger can only give all of them.
+func (l *Ledger) Since(revision uint64) (records []record.Record, full bool) {
+	full = revision == 0 || revision < l.Forgotten || revision > l.Revision
+	for _, r := range l.Records {
+		if full || r.Revision > revision {
+			records = append(records, r)
+		}
+	}
+	if !full {
+		for _, r := range l.Gone {
+			if r.Revision > revision {
+				records = append(records, r)
+			}
+		}
+	}
+	slices.SortFunc(records, func(a, b record.Record) int {
+		if a.Revision != b.Revision {
+			return int(a.Revision) - int(b.Revision)
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return records, full
+}
+
+// List returns the records of a kind, or all of them, in order of kind and
+// name.
+func (l *Ledger) List(kind string) []record.Record {
+	var out []record.Record
+	for _, r := range l.Records {
+		if kind == "" || r.Kind == kind {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b record.Record) int {
+		return strings.Compare(Key(a.Kind, a.Name), Key(b.Kind, b.Name))
+	})
+	return out
+}
--- /dev/null
+++ b/pkg/process/logs/logs.go
@@ -0,0 +1,20 @@
+// Package logs makes the structured logger of a process. Lines are written
+// only for changes of state; everything else is a counter.
+package logs
+
+import (
+	"os"
+
+	"github.com/sirupsen/logrus"
+)
+
+// New returns a logger that writes JSON lines to standard error.
+func New(level, role, host string) *logrus.Entry {
+	l := logrus.New()
+	l.SetOutput(os.Stderr)
+	l.SetFormatter(&logrus.JSONFormatter{})
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		l.SetLevel(parsed)
+	}
+	return l.WithFields(logrus.Fields{"role": role, "host": host})
+}
--- /dev/null
+++ b/pkg/process/quorum/log.go
@@ -0,0 +1,118 @@
+package quorum
+
+// raftLog is the in-memory log of a replica: a snapshot and the entries after it.
+type raftLog struct {
+	// snap covers every index up to snap.Index.
+	snap Snapshot
+	// entries[i].Index is snap.Index+1+i.
+	entries []Entry
+	// members lists every membership in the log, the snapshot's first.
+	members []membersAt
+}
+
+// membersAt is a membership and the log index that brought it.
+type membersAt struct {
+	index   uint64
+	members Members
+}
+
+func newLog(snap Snapshot, entries []Entry) *raftLog {
+	l := &raftLog{snap: snap}
+	l.members = []membersAt{{snap.Index, snap.Members}}
+	for _, e := range entries {
+		l.push(e)
+	}
+	return l
+}
+
+func (l *raftLog) lastIndex() uint64 { return l.snap.Index + uint64(len(l.entries)) }
+
+func (l *raftLog) lastTerm() uint64 {
+	t, _ := l.term(l.lastIndex())
+	return t
+}
+
+// term returns the term at index; ok is false if the log does not hold it.
+func (l *raftLog) term(index uint64) (term uint64, ok bool) {
+	if index == l.snap.Index {
+		return l.snap.Term, true
+	}
+	if index < l.snap.Index || index > l.lastIndex() {
+		return 0, false
+	}
+	return l.entries[index-l.snap.Index-1].Term, true
+}
+
+// slice returns at most most entries from index on.
+func (l *raftLog) slice(from uint64, most int) []Entry {
+	if from <= l.snap.Index || from > l.lastIndex() {
+		return nil
+	}
+	s := l.entries[from-l.snap.Index-1:]
+	if len(s) > most {
+		s = s[:most]
+	}
+	return append([]Entry(nil), s...)
+}
+
+func (l *raftLog) push(e Entry) {
+	l.entries = append(l.entries, e)
+	if e.Kind != EntryMembers {
+		return
+	}
+	m, err := DecodeMembers(e.Data)
+	if err != nil {
+		panic(err) // only encoded by Members.Encode and checked on disk
+	}
+	l.members = append(l.members, membersAt{e.Index, m})
+}
+
+// truncate drops every entry from index on.
+func (l *raftLog) truncate(from uint64) {
+	l.entries = l.entries[:from-l.snap.Index-1]
+	for len(l.members) > 1 && l.members[len(l.members)-1].index >= from {
+		l.members = l.members[:len(l.members)-1]
+	}
+}
+
+// compact replaces the entries up to snap.Index by snap.
+func (l *raftLog) compact(snap Snapshot) {
+	if t, ok := l.term(snap.Index); ok && t == snap.Term {
+		l.entries = append([]Entry(nil), l.entries[snap.Index-l.snap.Index:]...)
+	} else {
+		l.entries = nil
+	}
+	var later []membersAt
+	for _, m := range l.members {
+		if m.index > snap.Index && len(l.entries) > 0 {
+			later = append(later, m)
+		}
+	}
+	l.snap = snap
+	l.members = append([]membersAt{{snap.Index, snap.Members}}, later...)
+}
+
+// current is the latest membership, committed or not.
+func (l *raftLog) current() Members { return l.members[len(l.members)-1].members }
+
+// currentIndex is the index that brought the latest membership.
+func (l *raftLog) currentIndex() uint64 { return l.members[len(l.members)-1].index }
+
+// membersAtIndex is the membership in force at index.
+func (l *raftLog) membersAtIndex(index uint64) Members {
+	m := l.members[0].members
+	for _, x := range l.members {
+		if x.index <= index {
+			m = x.members
+		}
+	}
+	return m
+}
+
+// upToDate reports whether a log ending at (index, term) may lead this one.
+func (l *raftLog) upToDate(index, term uint64) bool {
+	if term != l.lastTerm() {
+		return term > l.lastTerm()
+	}
+	return index >= l.lastIndex()
+}
--- /dev/null
+++ b/pkg/process/quorum/node.go
@@ -0,0 +1,351 @@
+package quorum
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// Config holds what a Node needs. Function fields are its seams.
+type Config struct {
+	ID     NodeID
+	Timing Timing
+	// Seed makes the election timeouts repeatable.
+	Seed      uint64
+	Persisted Persisted
+	// Persist must return only after the data is synced. After an error the
+	// node stops for good.
+	Persist func(Ready) error
+	// Send hands messages to the transport. It must not block.
+	Send func([]Message)
+	// Apply runs one committed command. Its result goes to the proposer.
+	Apply func(index uint64, data []byte) any
+	// Save encodes the state machine.
+	Save func() []byte
+	// Restore replaces the state machine.
+	Restore func(data []byte) error
+	// SaveSnapshot stores a snapshot that replaces the log up to its index.
+	SaveSnapshot func(Snapshot) error
+	// SnapshotEvery is the number of applied entries between two snapshots.
+	SnapshotEvery uint64
+	// Changed is called on the node's goroutine when the role, the term, the
+	// leader or the membership changes. It may be nil.
+	Changed func(Status)
+}
+
+// Status is an immutable view of a node.
+type Status struct {
+	ID         NodeID
+	Role       Role
+	Term       uint64
+	Leader     NodeID
+	LeaderAddr string
+	Commit     uint64
+	Applied    uint64
+	Last       uint64
+	Members    Members
+	// LeaseUntil is zero unless this node leads and holds a lease.
+	LeaseUntil time.Time
+	// Match is the persisted index of each peer, on the leader only.
+	Match map[NodeID]uint64
+}
+
+// Node drives a Core with a clock, a disk and a transport. All state is owned
+// by the goroutine of Run; Do lets callers run on it.
+type Node struct {
+	cfg     Config
+	core    *Core
+	inbox   chan Message
+	calls   chan func()
+	status  atomic.Pointer[Status]
+	waiting map[uint64]waiter
+	done    chan struct{}
+	saved   uint64
+}
+
+// waiter is a proposal that is not yet applied.
+type waiter struct {
+	term uint64
+	done func(result any, err error)
+}
+
+// Sizes and periods of the driver.
+const (
+	inboxSize  = 4096
+	callsSize  = 1024
+	batchMost  = 512
+	tickPeriod = 25 * time.Millisecond
+)
+
+// NewNode returns a node; Run starts it.
+func NewNode(cfg Config) (*Node, error) {
+	if len(cfg.Persisted.Snapshot.Data) > 0 {
+		if err := cfg.Restore(cfg.Persisted.Snapshot.Data); err != nil {
+			return nil, err
+		}
+	}
+	n := &Node{
+		cfg:     cfg,
+		core:    NewCore(cfg.ID, cfg.Timing, cfg.Seed, cfg.Persisted, time.Now()),
+		inbox:   make(chan Message, inboxSize),
+		calls:   make(chan func(), callsSize),
+		waiting: map[uint64]waiter{},
+		done:    make(chan struct{}),
+		saved:   cfg.Persisted.Snapshot.Index,
+	}
+	n.publish()
+	return n, nil
+}
+
+// Run drives the node until ctx ends or the disk fails.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.done)
+	defer n.failWaiting("the replica stops")
+	tick := time.NewTicker(tickPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			n.core.Tick(time.Now())
+		case m := <-n.inbox:
+			n.core.Step(m, time.Now())
+			n.drainInbox()
+		case f := <-n.calls:
+			f()
+			n.drainCalls()
+		}
+		if err := n.process(); err != nil {
+			return err
+		}
+	}
+}
+
+func (n *Node) drainInbox() {
+	for range batchMost {
+		select {
+		case m := <-n.inbox:
+			n.core.Step(m, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) drainCalls() {
+	for range batchMost {
+		select {
+		case f := <-n.calls:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// process carries out all pending work of the core.
+func (n *Node) process() error {
+	n.core.Flush(time.Now())
+	for {
+		r := n.core.Ready()
+		if r.Empty() {
+			break
+		}
+		if err := n.carryOut(r); err != nil {
+			return err
+		}
+		n.core.Advance(r)
+	}
+	n.failOvertaken()
+	n.publish()
+	return n.maybeSnapshot()
+}
+
+func (n *Node) carryOut(r Ready) error {
+	if r.Hard != nil || len(r.Entries) > 0 || r.Snapshot != nil {
+		if err := n.cfg.Persist(r); err != nil {
+			return err
+		}
+	}
+	if r.Snapshot != nil {
+		n.saved = r.Snapshot.Index
+		if err := n.cfg.Restore(r.Snapshot.Data); err != nil {
+			return err
+		}
+	}
+	if len(r.Messages) > 0 {
+		n.cfg.Send(r.Messages)
+	}
+	for _, e := range r.Committed {
+		n.apply(e)
+	}
+	return nil
+}
+
+func (n *Node) apply(e Entry) {
+	var result any
+	if e.Kind == EntryCommand {
+		result = n.cfg.Apply(e.Index, e.Data)
+	}
+	w, ok := n.waiting[e.Index]
+	if !ok {
+		return
+	}
+	delete(n.waiting, e.Index)
+	if w.term != e.Term {
+		w.done(nil, &UnknownOutcomeError{Reason: "another entry took the position"})
+		return
+	}
+	w.done(result, nil)
+}
+
+// failOvertaken answers the proposals of a term that this node lost.
+func (n *Node) failOvertaken() {
+	if n.core.role == Leader {
+		return
+	}
+	n.failWaiting("leadership was lost")
+}
+
+func (n *Node) failWaiting(reason string) {
+	for i, w := range n.waiting {
+		delete(n.waiting, i)
+		w.done(nil, &UnknownOutcomeError{Reason: reason})
+	}
+}
+
+func (n *Node) maybeSnapshot() error {
+	if n.cfg.SnapshotEvery == 0 || n.core.applied < n.saved+n.cfg.SnapshotEvery {
+		return nil
+	}
+	snap := n.core.Compact(n.core.applied, n.cfg.Save())
+	n.saved = snap.Index
+	return n.cfg.SaveSnapshot(snap)
+}
+
+func (n *Node) publish() {
+	c := n.core
+	s := Status{ID: c.id, Role: c.role, Term: c.hard.Term, Leader: c.leader, LeaderAddr: c.addr(c.leader),
+		Commit: c.commit, Applied: c.applied, Last: c.log.lastIndex(), Members: c.log.current()}
+	if until, ok := c.LeaseUntil(time.Now()); ok {
+		s.LeaseUntil = until
+	}
+	if c.role == Leader {
+		s.Match = map[NodeID]uint64{}
+		for id, p := range c.peers {
+			s.Match[id] = p.match
+		}
+	}
+	old := n.status.Swap(&s)
+	if n.cfg.Changed != nil && (old == nil || old.Role != s.Role || old.Term != s.Term || old.Leader != s.Leader) {
+		n.cfg.Changed(s)
+	}
+}
+
+// Status returns the latest view of the node.
+func (n *Node) Status() Status { return *n.status.Load() }
+
+// Holds reports whether this node leads with a valid lease, and for how long.
+// It may be called from any goroutine.
+func (n *Node) Holds() (term uint64, left time.Duration, ok bool) {
+	s := n.status.Load()
+	left = time.Until(s.LeaseUntil)
+	return s.Term, left, s.Role == Leader && left > 0
+}
+
+// Deliver takes in a message from the transport. A full inbox drops it.
+func (n *Node) Deliver(m Message) {
+	select {
+	case n.inbox <- m:
+	default:
+	}
+}
+
+// Do runs f on the node's goroutine and waits for it.
+func (n *Node) Do(ctx context.Context, f func()) error {
+	ran := make(chan struct{})
+	if err := n.post(ctx, func() { f(); close(ran) }); err != nil {
+		return err
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-n.done:
+		return &UnknownOutcomeError{Reason: "the replica stopped"}
+	}
+}
+
+func (n *Node) post(ctx context.Context, f func()) error {
+	select {
+	case n.calls <- f:
+		return nil
+	case <-n.done:
+		return &NotLeaderError{}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// outcome is the answer to a proposal.
+type outcome struct {
+	result any
+	err    error
+}
+
+// Propose commits a command and returns the result of applying it. The error
+// is a *NotLeaderError if the command was surely not proposed, and an
+// *UnknownOutcomeError if it may still be committed.
+func (n *Node) Propose(ctx context.Context, data []byte) (any, error) {
+	return n.ask(ctx, func() (uint64, uint64, error) {
+		return n.core.Propose(EntryCommand, data)
+	})
+}
+
+// ChangeMembers commits the membership that change returns.
+func (n *Node) ChangeMembers(ctx context.Context, change func(Members) Members) error {
+	_, err := n.ask(ctx, func() (uint64, uint64, error) {
+		return n.core.ProposeMembers(change(n.core.log.current()))
+	})
+	return err
+}
+
+func (n *Node) ask(ctx context.Context, propose func() (index, term uint64, err error)) (any, error) {
+	answer := make(chan outcome, 1)
+	err := n.post(ctx, func() {
+		index, term, err := propose()
+		if err != nil {
+			answer <- outcome{err: err}
+			return
+		}
+		n.waiting[index] = waiter{term, func(r any, err error) { answer <- outcome{r, err} }}
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case o := <-answer:
+		return o.result, o.err
+	case <-ctx.Done():
+		return nil, &UnknownOutcomeError{Reason: ctx.Err().Error()}
+	case <-n.done:
+		return nil, &UnknownOutcomeError{Reason: "the replica stopped"}
+	}
+}
+
+// ProposeLater commits a command from the node's own goroutine; done runs on
+// that goroutine too.
+func (n *Node) ProposeLater(data []byte, done func(result any, err error)) {
+	index, term, err := n.core.Propose(EntryCommand, data)
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	n.waiting[index] = waiter{term, done}
+}
+
+// Form makes an empty replica the first of a new group. It must run on the
+// node's goroutine, through Do, and only when all members are empty.
+func (n *Node) Form(members Members) error {
+	return n.core.Form(members)
+}
--- /dev/null
+++ b/pkg/process/settings/settings.go
@@ -0,0 +1,333 @@
+// Package settings reads and checks the settings of a process: JSON with
+// comments, one file a process.
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/plantainbank/plantainbank/pkg/version/strictjson"
+)
+
+// FileError names the settings file that an error was found in.
+type FileError struct {
+	File string
+	Err  error
+}
+
+func (e *FileError) Error() string { return e.File + ": " + e.Err.Error() }
+
+func (e *FileError) Unwrap() error { return e.Err }
+
+// Duration is a time.Duration that is written as "300ms".
+type Duration time.Duration
+
+// UnmarshalJSON reads a duration with its unit.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return &strictjson.FieldError{Field: string(data), Problem: "must be a duration such as \"300ms\""}
+	}
+	v, err := time.ParseDuration(text)
+	if err != nil || v < 0 {
+		return &strictjson.FieldError{Field: text, Problem: "must be a duration such as \"300ms\""}
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalJSON writes the duration with its unit.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// TLS names the files of a certificate in PEM.
+type TLS struct {
+	// Off turns encryption off. It is meant for the loopback example only.
+	Off  bool   `json:"off,omitempty"`
+	Cert string `json:"cert,omitempty"`
+	Key  string `json:"key,omitempty"`
+	// CA is the authority that the peer's certificate must come from.
+	CA string `json:"ca,omitempty"`
+}
+
+// Logs sets what is logged.
+type Logs struct {
+	// Level is "error", "warning", "info" or "debug".
+	Level string `json:"level,omitempty"`
+}
+
+// Trace sets where spans go. Both empty means that none are recorded.
+type Trace struct {
+	File     string `json:"file,omitempty"`
+	Endpoint string `json:"endpoint,omitempty"`
+}
+
+// Platform names the interfaces of the platform. Empty ones are not used.
+type Platform struct {
+	Orders string `json:"orders,omitempty"`
+	Usage  string `json:"usage,omitempty"`
+}
+
+// Control holds the settings of a control process.
+type Control struct {
+	// Listen is the IP address and port for peers and entry hosts.
+	Listen string `json:"listen"`
+	Zone   string `json:"zone"`
+	// Data is the folder that survives a restart.
+	Data string `json:"data"`
+	// Control lists the addresses of all control hosts, this one included.
+	Control []string `json:"control"`
+	// Metrics is the address of the metrics and health pages; empty means none.
+	Metrics  string   `json:"metrics,omitempty"`
+	Platform Platform `json:"platform"`
+	// Grant is the length of a lease on the configuration.
+	Grant Duration `json:"grant,omitempty"`
+	// Window is the length of a usage window.
+	Window Duration `json:"window,omitempty"`
+	// Claim is the longest time that a sample may be in work before another
+	// entry host may produce it too.
+	Claim Duration `json:"claim,omitempty"`
+	// Swap is the longest time for one weight swap.
+	Swap Duration `json:"swap,omitempty"`
+	// Wave is the largest part of a pool that swaps weights at once, 0 to 1.
+	Wave float64 `json:"wave,omitempty"`
+	// Headroom is the part of the demand that is ordered on top of it.
+	Headroom float64 `json:"headroom,omitempty"`
+	// Snapshot is the number of log entries between two snapshots.
+	Snapshot uint64 `json:"snapshot,omitempty"`
+	TLS      TLS    `json:"tls"`
+	Logs     Logs   `json:"logs"`
+	Trace    Trace  `json:"trace"`
+}
+
+// Limits bounds what callers may do.
+type Limits struct {
+	// Body is the largest request body in bytes.
+	Body int `json:"body,omitempty"`
+	// Header is the largest request header in bytes.
+	Header int `json:"header,omitempty"`
+	// Answer is the largest answer of a plain service in bytes.
+	Answer int `json:"answer,omitempty"`
+	// Connections is the most open caller connections.
+	Connections int `json:"connections,omitempty"`
+	// Queue is the most waiting requests of a workspace in a pool.
+	Queue int `json:"queue,omitempty"`
+	// Idle ends a connection without a request.
+	Idle Duration `json:"idle,omitempty"`
+	// Read bounds the reception of a request.
+	Read Duration `json:"read,omitempty"`
+	// Write bounds each write to a slow caller.
+	Write Duration `json:"write,omitempty"`
+	// Drain bounds a graceful shutdown.
+	Drain Duration `json:"drain,omitempty"`
+}
+
+// Policy switches parts of the decisions off, for measurements.
+type Policy struct {
+	// Choice is "wait" (least expected wait of two), "least" (least in
+	// flight) or "robin".
+	Choice string `json:"choice,omitempty"`
+	// Unfair serves requests in order of arrival.
+	Unfair bool `json:"unfair,omitempty"`
+	// Unshared ignores the shares and sends each server at most Fixed requests.
+	Unshared bool `json:"unshared,omitempty"`
+	Fixed    int  `json:"fixed,omitempty"`
+	// Patient never refuses early.
+	Patient bool `json:"patient,omitempty"`
+	// Retries is the number of retries allowed for each served request.
+	Retries float64 `json:"retries,omitempty"`
+	// Affinity is the advantage of a server that holds the prefix, in
+	// requests in flight.
+	Affinity float64 `json:"affinity,omitempty"`
+}
+
+// Entry holds the settings of an entry process.
+type Entry struct {
+	// Host is the unique name of this entry host.
+	Host string `json:"host"`
+	Zone string `json:"zone"`
+	// Callers is the address for callers and trainers.
+	Callers string `json:"callers"`
+	// Operators is the address for operators, metrics and health.
+	Operators string `json:"operators"`
+	// Backends is the address at which backend servers announce themselves.
+	Backends string `json:"backends"`
+	// Control lists the addresses of all control hosts.
+	Control []string `json:"control"`
+	// Operator and Announce are the SHA-256 of the tokens, in hex.
+	Operator string `json:"operator"`
+	Announce string `json:"announce"`
+	// Renew is the longest time between two renewals of the lease.
+	Renew Duration `json:"renew,omitempty"`
+	// Workers is the most samples that are produced at once.
+	Workers int    `json:"workers,omitempty"`
+	Limits  Limits `json:"limits"`
+	Policy  Policy `json:"policy"`
+	TLS     TLS    `json:"tls"`
+	// CallerTLS is the certificate shown to callers and operators.
+	CallerTLS TLS   `json:"callertls"`
+	Logs      Logs  `json:"logs"`
+	Trace     Trace `json:"trace"`
+}
+
+// DefaultControl returns the settings that a file may leave out.
+func DefaultControl() Control {
+	return Control{
+		Grant: Duration(3 * time.Second), Window: Duration(time.Minute), Claim: Duration(30 * time.Second),
+		Swap: Duration(10 * time.Second), Wave: 0.34, Headroom: 0.25, Snapshot: 2000, Logs: Logs{Level: "info"},
+	}
+}
+
+// DefaultEntry returns the settings that a file may leave out.
+func DefaultEntry() Entry {
+	return Entry{
+		Renew: Duration(400 * time.Millisecond), Workers: 64,
+		Limits: Limits{Body: 4 << 20, Header: 16 << 10, Answer: 64 << 20, Connections: 10_000, Queue: 256,
+			Idle: Duration(time.Minute), Read: Duration(10 * time.Second), Write: Duration(10 * time.Second),
+			Drain: Duration(30 * time.Second)},
+		Policy: Policy{Choice: "wait", Retries: 0.1, Affinity: 2},
+		Logs:   Logs{Level: "info"},
+	}
+}
+
+// ReadControl reads and checks the settings of a control process.
+func ReadControl(file string) (Control, error) {
+	cfg := DefaultControl()
+	err := read(file, &cfg, cfg.check)
+	return cfg, err
+}
+
+// ReadEntry reads and checks the settings of an entry process.
+func ReadEntry(file string) (Entry, error) {
+	cfg := DefaultEntry()
+	err := read(file, &cfg, cfg.check)
+	return cfg, err
+}
+
+func read(file string, into any, check func() error) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return &FileError{File: file, Err: errors.Unwrap(err)}
+	}
+	if err := strictjson.DecodeCommented(data, into); err != nil {
+		return &FileError{File: file, Err: err}
+	}
+	if err := check(); err != nil {
+		return &FileError{File: file, Err: err}
+	}
+	return nil
+}
+
+func (c *Control) check() error {
+	return first(
+		address("listen", c.Listen),
+		addresses("control", c.Control),
+		require("control", slices.Contains(c.Control, c.Listen), "must contain the address of \"listen\""),
+		optional("metrics", c.Metrics),
+		require("zone", c.Zone != "", "is missing"),
+		require("data", c.Data != "", "is missing"),
+		require("grant", between(c.Grant, time.Second, time.Minute), "must be 1s to 1m"),
+		require("window", between(c.Window, 100*time.Millisecond, 24*time.Hour), "must be 100ms to 24h"),
+		require("claim", between(c.Claim, time.Second, time.Hour), "must be 1s to 1h"),
+		require("swap", between(c.Swap, 100*time.Millisecond, time.Hour), "must be 100ms to 1h"),
+		require("wave", c.Wave > 0 && c.Wave <= 1, "must be above 0 and at most 1"),
+		require("headroom", c.Headroom >= 0 && c.Headroom <= 10, "must be 0 to 10"),
+		require("snapshot", c.Snapshot > 0, "must be 1 or more"),
+		c.TLS.check("tls", true),
+		c.Logs.check(),
+	)
+}
+
+func (c *Entry) check() error {
+	return first(
+		require("host", c.Host != "", "is missing"),
+		require("zone", c.Zone != "", "is missing"),
+		address("callers", c.Callers),
+		address("operators", c.Operators),
+		address("backends", c.Backends),
+		addresses("control", c.Control),
+		require("operator", len(c.Operator) == 64, "must be the SHA-256 of the operators' token in hex"),
+		require("announce", len(c.Announce) == 64, "must be the SHA-256 of the backend servers' token in hex"),
+		require("renew", between(c.Renew, 50*time.Millisecond, 10*time.Second), "must be 50ms to 10s"),
+		require("workers", c.Workers >= 0, "must not be negative"),
+		c.Limits.check(),
+		strictjson.OneOf("policy.choice", c.Policy.Choice, "least", "robin", "wait"),
+		require("policy.retries", c.Policy.Retries >= 0 && c.Policy.Retries <= 1, "must be 0 to 1"),
+		c.TLS.check("tls", true),
+		c.CallerTLS.check("callertls", false),
+		c.Logs.check(),
+	)
+}
+
+func (l Limits) check() error {
+	return first(
+		require("limits.body", l.Body > 0, "must be 1 or more bytes"),
+		require("limits.header", l.Header >= 1024, "must be 1024 or more bytes"),
+		require("limits.answer", l.Answer > 0, "must be 1 or more bytes"),
+		require("limits.connections", l.Connections > 0, "must be 1 or more"),
+		require("limits.queue", l.Queue > 0, "must be 1 or more"),
+	)
+}
+
+func (l Logs) check() error {
+	return strictjson.OneOf("logs.level", l.Level, "debug", "error", "info", "warning")
+}
+
+func (t TLS) check(field string, mutual bool) error {
+	if t.Off {
+		return require(field+".off", t.Cert == "" && t.Key == "" && t.CA == "", "can not stand beside certificate files")
+	}
+	return first(
+		require(field+".cert", t.Cert != "", "is missing (or set \"off\" to true on loopback)"),
+		require(field+".key", t.Key != "", "is missing"),
+		require(field+".ca", t.CA != "" || !mutual, "is missing"),
+	)
+}
+
+func between(d Duration, least, most time.Duration) bool {
+	return time.Duration(d) >= least && time.Duration(d) <= most
+}
+
+func address(field, value string) error {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		return &strictjson.FieldError{Field: field, Problem: fmt.Sprintf("has the value %q, must be an IP address and port", value)}
+	}
+	return nil
+}
+
+func optional(field, value string) error {
+	if value == "" {
+		return nil
+	}
+	return address(field, value)
+}
+
+func addresses(field string, values []string) error {
+	for i, v := range values {
+		if err := address(fmt.Sprintf("%s[%d]", field, i), v); err != nil {
+			return err
+		}
+	}
+	return require(field, len(values) > 0, "must list at least one address")
+}
+
+func require(field string, ok bool, problem string) error {
+	if ok {
+		return nil
+	}
+	return &strictjson.FieldError{Field: field, Problem: problem}
+}
+
+func first(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/request/attempt/attempt.go
@@ -0,0 +1,305 @@
+// Package attempt sends one request to one backend server and reads the whole
+// answer. It never repeats a request and never mixes up two answers.
+//
+// A connection is used for one request at a time. It goes back to the idle
+// ones only after its answer was read to the end; after any error, time-out or
+// cancellation it is closed.
+package attempt
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/plantainbank/plantainbank/pkg/connection/socket"
+)
+
+// Ran says whether a request was run.
+type Ran string
+
+// Values of Ran.
+const (
+	// RanNo: no byte of the request can have reached a backend server, or the
+	// backend server itself said that it did not run it.
+	RanNo Ran = "no"
+	// RanYes: the backend server answered or began to answer.
+	RanYes Ran = "yes"
+	// RanUnknown: the request may have been run.
+	RanUnknown Ran = "unknown"
+)
+
+// Error reports an attempt without a whole answer.
+type Error struct {
+	// Phase is "connect", "send", "receive" or "answer".
+	Phase string
+	Ran   Ran
+	Err   error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s (ran: %s): %v", e.Phase, e.Ran, e.Err) }
+
+func (e *Error) Unwrap() error { return e.Err }
+
+// Periods and sizes of connections.
+const (
+	connectTimeout = time.Second
+	idleMost       = 64
+	idleLongest    = 5 * time.Second
+	bufferBytes    = 16 << 10
+)
+
+// Client keeps idle connections to the backend servers.
+type Client struct {
+	// Dial opens a connection.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// conn is a connection to a backend server.
+type conn struct {
+	net.Conn
+	br   *bufio.Reader
+	bw   *bufio.Writer
+	used time.Time
+	// quiet bounds each read and write; zero means no bound.
+	quiet time.Duration
+}
+
+// Read reads within the bound.
+func (x *conn) Read(p []byte) (int, error) {
+	if err := x.Conn.SetReadDeadline(x.bound()); err != nil {
+		return 0, err
+	}
+	return x.Conn.Read(p)
+}
+
+// Write writes within the bound.
+func (x *conn) Write(p []byte) (int, error) {
+	if err := x.Conn.SetWriteDeadline(x.bound()); err != nil {
+		return 0, err
+	}
+	return x.Conn.Write(p)
+}
+
+func (x *conn) bound() time.Time {
+	if x.quiet == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(x.quiet)
+}
+
+// NewClient returns a client that dials TCP.
+func NewClient() *Client {
+	d := &net.Dialer{Timeout: connectTimeout}
+	return &Client{
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
+		idle: map[string][]*conn{},
+	}
+}
+
+// get returns a connection that is known to be live: a fresh one, or with
+// reuse an idle one that the server has neither closed nor written to.
+func (c *Client) get(ctx context.Context, addr string, reuse bool) (*conn, error) {
+	for reuse {
+		x := c.takeIdle(addr)
+		if x == nil {
+			break
+		}
+		if time.Since(x.used) < idleLongest && socket.Peek(x.Conn) == socket.Quiet {
+			return x, nil
+		}
+		x.Close()
+	}
+	raw, err := c.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	x := &conn{Conn: raw}
+	x.br = bufio.NewReaderSize(x, bufferBytes)
+	x.bw = bufio.NewWriterSize(x, bufferBytes)
+	return x, nil
+}
+
+func (c *Client) takeIdle(addr string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := c.idle[addr]
+	if len(all) == 0 {
+		return nil
+	}
+	x := all[len(all)-1]
+	c.idle[addr] = all[:len(all)-1]
+	return x
+}
+
+func (c *Client) putIdle(addr string, x *conn) {
+	x.used = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[addr]) >= idleMost {
+		x.Close()
+		return
+	}
+	c.idle[addr] = append(c.idle[addr], x)
+}
+
+// CloseIdle closes the connections that were idle for too long.
+func (c *Client) CloseIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, all := range c.idle {
+		kept := all[:0]
+		for _, x := range all {
+			if time.Since(x.used) < idleLongest {
+				kept = append(kept, x)
+			} else {
+				x.Close()
+			}
+		}
+		c.idle[addr] = kept
+		if len(kept) == 0 {
+			delete(c.idle, addr)
+		}
+	}
+}
+
+// Answer is a whole answer, or a stream if Body is set.
+type Answer struct {
+	Response *fasthttp.Response
+	// Body reads a streamed answer. Close must be called.
+	Body io.Reader
+	done func(whole bool)
+}
+
+// Close ends the use of the connection. whole says that the answer was read to
+// its end.
+func (a *Answer) Close(whole bool) {
+	if a.done != nil {
+		a.done(whole)
+		a.done = nil
+	}
+}
+
+// Options of an attempt.
+type Options struct {
+	// Fresh forbids a connection that was used before, for requests that
+	// must not run twice.
+	Fresh bool
+	// Stream returns once the header is there.
+	Stream bool
+	// Quiet is the longest time without any byte of the answer.
+	Quiet time.Duration
+	// BodyMost is the largest whole answer in bytes.
+	BodyMost int
+}
+
+// Do sends req to addr and reads the answer. The error is an *Error. The
+// request ends when ctx does.
+func (c *Client) Do(ctx context.Context, addr string, req *fasthttp.Request, o Options) (*Answer, error) {
+	x, err := c.get(ctx, addr, !o.Fresh)
+	if err != nil {
+		return nil, &Error{Phase: "connect", Ran: RanNo, Err: err}
+	}
+	x.quiet = o.Quiet
+	stop := context.AfterFunc(ctx, func() { x.Close() })
+	a, err := c.exchange(x, req, o)
+	if err != nil {
+		stop()
+		x.Close()
+		return nil, withCause(ctx, err)
+	}
+	a.done = func(whole bool) {
+		if !stop() || !whole || a.Response.ConnectionClose() || req.ConnectionClose() || x.br.Buffered() > 0 {
+			x.Close()
+			return
+		}
+		c.putIdle(addr, x)
+	}
+	if !o.Stream {
+		a.Close(true)
+	}
+	return a, nil
+}
+
+func withCause(ctx context.Context, err error) error {
+	var e *Error
+	if cause := context.Cause(ctx); cause != nil && errors.As(err, &e) {
+		e.Err = cause
+	}
+	return err
+}
+
+func (c *Client) exchange(x *conn, req *fasthttp.Request, o Options) (*Answer, error) {
+	if err := req.Write(x.bw); err != nil {
+		return nil, &Error{Phase: "send", Ran: RanUnknown, Err: err}
+	}
+	if err := x.bw.Flush(); err != nil {
+		return nil, &Error{Phase: "send", Ran: RanUnknown, Err: err}
+	}
+	res := &fasthttp.Response{SkipBody: req.Header.IsHead(), StreamBody: o.Stream}
+	if err := readHeader(res, x.br); err != nil {
+		return nil, &Error{Phase: "receive", Ran: RanUnknown, Err: err}
+	}
+	if err := readBody(res, x.br, o); err != nil {
+		return nil, &Error{Phase: "answer", Ran: RanYes, Err: err}
+	}
+	a := &Answer{Response: res}
+	if o.Stream {
+		a.Body = res.BodyStream()
+	}
+	return a, nil
+}
+
+// readBody reads a whole body, or makes it a stream.
+func readBody(res *fasthttp.Response, br *bufio.Reader, o Options) error {
+	if res.SkipBody || bodyless(res.StatusCode()) {
+		return nil
+	}
+	if res.Header.ContentLength() == unframed {
+		return errUnframed
+	}
+	if err := res.ReadBody(br, o.BodyMost); err != nil {
+		return err
+	}
+	if o.Stream || res.Header.ContentLength() != chunked {
+		return nil
+	}
+	err := res.Header.ReadTrailer(br)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// readHeader skips informational answers.
+func readHeader(res *fasthttp.Response, br *bufio.Reader) error {
+	for {
+		if err := res.Header.Read(br); err != nil {
+			return err
+		}
+		if res.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+}
+
+// Content lengths that fasthttp gives to bodies without a known length.
+const (
+	chunked = -1
+	// unframed bodies end with the connection.
+	unframed = -2
+)
+
+var errUnframed = errors.New("the answer's end can not be told from a cut connection")
+
+func bodyless(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
--- /dev/null
+++ b/pkg/request/dispatch/generate.go
@@ -0,0 +1,147 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
+)
+
+// Span is a part of a generation that one weight version produced.
+type Span struct {
+	Version uint64
+	// From and To are token offsets; To is exclusive.
+	From, To uint32
+}
+
+// Generated is a whole generation.
+type Generated struct {
+	Text   string
+	Tokens int
+	Reason string
+	// Spans is empty if an engine did not name its versions.
+	Spans []Span
+	// Backend is the server that produced the last part.
+	Backend string
+}
+
+// Generation asks for a generation.
+type Generation struct {
+	Rollout  string
+	Prompt   string
+	Tokens   int
+	Seed     uint64
+	Priority int
+	// Attributed generations must name the weight version of every token.
+	Attributed bool
+	// Token is called for each token in order, across resumed attempts.
+	Token func(text string) error
+}
+
+// SilentEngineError reports an engine that does not name its weight version.
+type SilentEngineError struct{ Backend string }
+
+func (e *SilentEngineError) Error() string {
+	return fmt.Sprintf("engine %q does not name its weight version", e.Backend)
+}
+
+// callerError wraps an error of Generation.Token.
+type callerError struct{ err error }
+
+func (e *callerError) Error() string { return "caller: " + e.err.Error() }
+
+func (e *callerError) Unwrap() error { return e.err }
+
+// progress is a generation under way.
+type progress struct {
+	Generated
+	text strings.Builder
+	// silent is true once a token came without a version.
+	silent bool
+}
+
+// Generate runs a generation to its end. A cut stream is resumed on another
+// engine from the last token that arrived whole.
+func (d *Dispatcher) Generate(ctx context.Context, j *Job, g Generation) (*Generated, error) {
+	p := &progress{}
+	for n := 1; ; n++ {
+		err := d.generateOnce(ctx, j, g, p)
+		if err == nil {
+			d.cfg.Usage.Add(j.Workspace, p.Tokens)
+			return p.result(), nil
+		}
+		var caller *callerError
+		if errors.As(err, &caller) || !d.retry(ctx, j, n, err) {
+			return nil, p.honest(sentBefore(j, err))
+		}
+		d.avoid(j, p.Backend)
+	}
+}
+
+// honest says that a request ran if any token of it was seen.
+func (p *progress) honest(err error) error {
+	var e *attempt.Error
+	if p.Tokens > 0 && errors.As(err, &e) {
+		return &attempt.Error{Phase: e.Phase, Ran: attempt.RanYes, Err: e.Err}
+	}
+	return err
+}
+
+func (p *progress) result() *Generated {
+	p.Text = p.text.String()
+	if p.silent {
+		p.Spans = nil
+	}
+	return &p.Generated
+}
+
+func (d *Dispatcher) generateOnce(ctx context.Context, j *Job, g Generation, p *progress) error {
+	slot, err := d.acquire(ctx, j)
+	if err != nil {
+		return err
+	}
+	ctx, end := d.cfg.Tracer.Start(ctx, "generate", attribute.String("backend_server", slot.ID))
+	p.Backend = slot.ID
+	ask := attempt.Generation{Request: fmt.Sprintf("%s-%d", d.prefix, d.number.Add(1)), Rollout: g.Rollout,
+		Prompt: g.Prompt, Prefix: p.text.String(), Offset: p.Tokens, Tokens: g.Tokens, Seed: g.Seed, Priority: g.Priority}
+	reason, err := d.cfg.Client.Generate(ctx, slot.Addr, ask, d.cfg.Tracer.Header(ctx), func(e attempt.Event) error {
+		return p.take(e, g)
+	})
+	p.Reason = reason
+	d.release(j, slot, outcomeOf(ctx, err))
+	end(err)
+	return err
+}
+
+// take adds one token.
+func (p *progress) take(e attempt.Event, g Generation) error {
+	if e.Version == nil && g.Attributed {
+		return &SilentEngineError{Backend: p.Backend}
+	}
+	if g.Token != nil {
+		if err := g.Token(e.Text); err != nil {
+			return &callerError{err}
+		}
+	}
+	p.text.WriteString(e.Text)
+	if e.Version == nil {
+		p.silent = true
+	} else {
+		p.addSpan(*e.Version)
+	}
+	p.Tokens++
+	return nil
+}
+
+func (p *progress) addSpan(version uint64) {
+	at := uint32(p.Tokens)
+	if n := len(p.Spans); n > 0 && p.Spans[n-1].Version == version && p.Spans[n-1].To == at {
+		p.Spans[n-1].To++
+		return
+	}
+	p.Spans = append(p.Spans, Span{Version: version, From: at, To: at + 1})
+}
--- /dev/null
+++ b/pkg/request/queue/queue.go
@@ -0,0 +1,322 @@
+// Package queue admits requests to a pool of backend servers: fairly over
+// workspaces, within bounded queues, and with an early refusal when the wait
+// would pass the deadline.
+package queue
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+)
+
+// RefusedError reports a request that was not admitted. It was not run.
+type RefusedError struct {
+	// Reason is one of the reason constants.
+	Reason string
+	// RetryAfter is the predicted time until a request would be admitted.
+	RetryAfter time.Duration
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("not admitted (%s), retry after %s", e.Reason, e.RetryAfter)
+}
+
+// Reasons for a refusal.
+const (
+	// ReasonFull: the workspace has too many waiting requests.
+	ReasonFull = "queue_full"
+	// ReasonWait: the predicted wait passes the deadline.
+	ReasonWait = "wait_too_long"
+	// ReasonDeadline: the deadline passed while waiting.
+	ReasonDeadline = "deadline_passed"
+	// ReasonStopped: the host may not admit work now.
+	ReasonStopped = "no_configuration"
+)
+
+// Slot is the place at a backend server that an admitted request holds.
+type Slot interface{ comparable }
+
+// Request asks for a slot.
+type Request[S Slot] struct {
+	Workspace string
+	// Weight of the workspace; it is positive.
+	Weight float64
+	// Cost is the expected work, in units that are the same for all requests
+	// of the queue. It is positive.
+	Cost float64
+	// Deadline ends the wait.
+	Deadline time.Time
+	// Pick takes a slot, or returns false if none suits the request now. It
+	// is called with the queue's lock held.
+	Pick func() (S, bool)
+}
+
+// Settings switch parts of the queue off, for measurements.
+type Settings struct {
+	// Most is the number of waiting requests of a workspace.
+	Most int
+	// Unfair serves in order of arrival.
+	Unfair bool
+	// Patient never refuses early.
+	Patient bool
+}
+
+// Queue is the queue of one pool. It implements start-time fair queueing
+// (Goyal, Vin and Cheng, 1996) over workspaces.
+type Queue[S Slot] struct {
+	cfg Settings
+	// Capacity returns the number of slots of this host.
+	capacity func() int
+
+	mu      sync.Mutex
+	flows   map[string]*flow[S]
+	virtual float64
+	arrived uint64
+	// service is the moving average of the time that a slot is held.
+	service time.Duration
+	stopped bool
+}
+
+// flow is what a queue knows of one workspace.
+type flow[S Slot] struct {
+	waiting []*waiter[S]
+	finish  float64
+	running int
+	weight  float64
+}
+
+// waiter is a waiting request.
+type waiter[S Slot] struct {
+	*Request[S]
+	start   float64
+	arrival uint64
+	granted chan S
+	refused chan struct{}
+}
+
+// New returns an empty queue.
+func New[S Slot](cfg Settings, capacity func() int) *Queue[S] {
+	return &Queue[S]{cfg: cfg, capacity: capacity, flows: map[string]*flow[S]{}}
+}
+
+// serviceWindow is the weight of history in the moving average.
+const serviceWindow = 32
+
+// Acquire waits for a slot. The error is a *RefusedError, or ctx's error if
+// the caller left. The slot must be given back with Release.
+func (q *Queue[S]) Acquire(ctx context.Context, r *Request[S]) (S, error) {
+	w, err := q.enter(r)
+	if err != nil {
+		var none S
+		return none, err
+	}
+	timer := time.NewTimer(time.Until(r.Deadline))
+	defer timer.Stop()
+	select {
+	case s := <-w.granted:
+		return s, nil
+	case <-ctx.Done():
+		return q.leave(w, ctx.Err())
+	case <-timer.C:
+		return q.leave(w, &RefusedError{Reason: ReasonDeadline, RetryAfter: q.retryAfter()})
+	case <-w.refused:
+		return q.leave(w, &RefusedError{Reason: ReasonStopped, RetryAfter: time.Second})
+	}
+}
+
+func (q *Queue[S]) enter(r *Request[S]) (*waiter[S], error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.stopped {
+		return nil, &RefusedError{Reason: ReasonStopped, RetryAfter: time.Second}
+	}
+	f := q.flow(r.Workspace)
+	f.weight = r.Weight
+	if len(f.waiting) >= q.cfg.Most {
+		return nil, &RefusedError{Reason: ReasonFull, RetryAfter: q.predict(f)}
+	}
+	if wait := q.predict(f); !q.cfg.Patient && wait > time.Until(r.Deadline) {
+		return nil, &RefusedError{Reason: ReasonWait, RetryAfter: wait - time.Until(r.Deadline)}
+	}
+	w := &waiter[S]{Request: r, granted: make(chan S, 1), refused: make(chan struct{})}
+	w.start = max(q.virtual, f.finish)
+	f.finish = w.start + r.Cost/r.Weight
+	q.arrived++
+	w.arrival = q.arrived
+	f.waiting = append(f.waiting, w)
+	q.dispatch()
+	return w, nil
+}
+
+func (q *Queue[S]) flow(workspace string) *flow[S] {
+	f := q.flows[workspace]
+	if f == nil {
+		f = &flow[S]{}
+		q.flows[workspace] = f
+	}
+	return f
+}
+
+// leave ends a wait; a slot that was granted meanwhile is kept.
+func (q *Queue[S]) leave(w *waiter[S], err error) (S, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	select {
+	case s := <-w.granted:
+		return s, nil
+	default:
+	}
+	q.remove(w)
+	var none S
+	return none, err
+}
+
+func (q *Queue[S]) remove(w *waiter[S]) {
+	f := q.flow(w.Workspace)
+	for i, x := range f.waiting {
+		if x != w {
+			continue
+		}
+		f.waiting = append(f.waiting[:i], f.waiting[i+1:]...)
+		if i == len(f.waiting) {
+			f.finish -= w.Cost / w.Weight // unused service of the last in line
+		}
+		break
+	}
+	q.forget(w.Workspace)
+}
+
+// forget drops a flow that can not matter any more.
+func (q *Queue[S]) forget(workspace string) {
+	f := q.flows[workspace]
+	if len(f.waiting) == 0 && f.running == 0 && f.finish <= q.virtual {
+		delete(q.flows, workspace)
+	}
+}
+
+// Release ends the use of a slot that was held for a time. The caller has
+// freed the slot itself.
+func (q *Queue[S]) Release(workspace string, held time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if f := q.flows[workspace]; f != nil {
+		f.running--
+		q.forget(workspace)
+	}
+	if q.service == 0 {
+		q.service = held
+	}
+	q.service += (held - q.service) / serviceWindow
+	q.dispatch()
+}
+
+// Dispatch grants slots after capacity appeared.
+func (q *Queue[S]) Dispatch() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.dispatch()
+}
+
+// dispatch grants slots in order of start time while any request can be served.
+func (q *Queue[S]) dispatch() {
+	blocked := map[string]bool{}
+	for {
+		w := q.head(blocked)
+		if w == nil {
+			return
+		}
+		s, ok := w.Pick()
+		if !ok {
+			blocked[w.Workspace] = true
+			continue
+		}
+		f := q.flows[w.Workspace]
+		f.waiting = f.waiting[1:]
+		f.running++
+		q.virtual = max(q.virtual, w.start)
+		w.granted <- s
+	}
+}
+
+// head returns the next request of the flows that are not blocked.
+func (q *Queue[S]) head(blocked map[string]bool) *waiter[S] {
+	var best *waiter[S]
+	for name, f := range q.flows {
+		if blocked[name] || len(f.waiting) == 0 {
+			continue
+		}
+		if w := f.waiting[0]; best == nil || q.before(w, best) {
+			best = w
+		}
+	}
+	return best
+}
+
+func (q *Queue[S]) before(a, b *waiter[S]) bool {
+	if q.cfg.Unfair || a.start == b.start {
+		return a.arrival < b.arrival
+	}
+	return a.start < b.start
+}
+
+// predict estimates the wait of a new request of a flow: the flow's requests
+// ahead, served by its fair part of the slots.
+func (q *Queue[S]) predict(f *flow[S]) time.Duration {
+	slots := float64(q.capacity())
+	if slots == 0 || q.service == 0 || len(f.waiting) == 0 {
+		return 0
+	}
+	weights := 0.0
+	for _, x := range q.flows {
+		if len(x.waiting) > 0 || x.running > 0 {
+			weights += x.weight
+		}
+	}
+	part := max(slots*f.weight/weights, 0.1)
+	return time.Duration(float64(len(f.waiting)) / part * float64(q.service))
+}
+
+func (q *Queue[S]) retryAfter() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return max(q.service, time.Second)
+}
+
+// Stop refuses all waiting and new requests until Start.
+func (q *Queue[S]) Stop() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.stopped = true
+	for _, f := range q.flows {
+		for _, w := range f.waiting {
+			close(w.refused)
+		}
+		f.waiting = nil
+	}
+}
+
+// Start admits requests again.
+func (q *Queue[S]) Start() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.stopped = false
+	q.dispatch()
+}
+
+// Demand returns the running and waiting requests of every workspace.
+func (q *Queue[S]) Demand() map[string]int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := map[string]int{}
+	for name, f := range q.flows {
+		if n := f.running + len(f.waiting); n > 0 {
+			out[name] = n
+		}
+	}
+	return out
+}
+
+// Seconds rounds a Retry-After up to whole seconds, at least one.
+func Seconds(d time.Duration) int { return max(1, int(math.Ceil(d.Seconds()))) }
--- /dev/null
+++ b/pkg/version/record/record.go
@@ -0,0 +1,312 @@
+// Package record defines the records that operators submit: workspaces, keys,
+// availability zones, rollout configurations and routes.
+//
+// A record is stored as submitted, with its schema version. Converters, one a
+// schema step, make the newest form of it, so that old and new forms run side
+// by side. Specs of the newest schema are the exported structs of this package.
+package record
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+
+	"github.com/plantainbank/plantainbank/pkg/version/strictjson"
+)
+
+// Kinds of record.
+const (
+	KindWorkspace = "workspace"
+	KindKey       = "key"
+	KindZone      = "zone"
+	KindRollout   = "rollout"
+	KindRoute     = "route"
+)
+
+// Record is one record as it was submitted.
+type Record struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// Schema is the version of the form of Spec.
+	Schema int `json:"schema"`
+	// Revision is the revision of the configuration that brought this content.
+	Revision uint64          `json:"revision"`
+	Spec     json.RawMessage `json:"spec,omitempty"`
+	// Withdrawn records carry no spec.
+	Withdrawn bool `json:"withdrawn,omitempty"`
+}
+
+// Workspace is a customer of the service.
+type Workspace struct {
+	// Weight is the workspace's part when capacity is short. It is positive.
+	Weight float64 `json:"weight"`
+	// Deadline is the longest time that its requests may wait, in milliseconds.
+	Deadline int `json:"deadline,omitempty"`
+}
+
+// Key lets its holder act for a workspace.
+type Key struct {
+	Workspace string `json:"workspace"`
+	// Hash is the SHA-256 of the key's text in hex. The text is never stored.
+	Hash string `json:"hash"`
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	// State is "in" or "out". A zone that is out gets no new work.
+	State string `json:"state"`
+	// Least and Most bound the backend servers that are ordered, by pool.
+	Least map[string]int `json:"least,omitempty"`
+	Most  map[string]int `json:"most,omitempty"`
+	// Price is the cost of a steady backend server for an hour.
+	Price float64 `json:"price,omitempty"`
+	// Cheap is the share of ordered servers that may be reclaimable, 0 to 1.
+	Cheap float64 `json:"cheap,omitempty"`
+}
+
+// Rollout configures the steps of one trainer.
+type Rollout struct {
+	Workspace string `json:"workspace"`
+	// Pool names the backend servers that generate.
+	Pool string `json:"pool"`
+	// Age is the greatest allowed distance between the trainer's newest
+	// weight version and the oldest one that produced a part of a sample.
+	Age uint64 `json:"age"`
+	// Scorer names the pool of the scoring service; empty means none.
+	Scorer string `json:"scorer,omitempty"`
+	// Tokens is the longest sample.
+	Tokens int `json:"tokens"`
+}
+
+// Route leads a path prefix to a pool of plain services.
+type Route struct {
+	Prefix string `json:"prefix"`
+	Pool   string `json:"pool"`
+	// Open routes need no key.
+	Open bool `json:"open,omitempty"`
+	// Idempotent lists the methods that may be repeated.
+	Idempotent []string `json:"idempotent,omitempty"`
+	// Timeout bounds a request, in milliseconds.
+	Timeout int `json:"timeout,omitempty"`
+}
+
+// DefaultDeadlineMS applies where a workspace or a route names none.
+const DefaultDeadlineMS = 30_000
+
+// namePattern also keeps names safe in paths and log lines.
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// step converts a spec from one schema version to the next.
+type step func(json.RawMessage) (any, error)
+
+// kind describes one kind of record.
+type kind struct {
+	// steps[i] converts schema i+1 to schema i+2.
+	steps []step
+	check func(json.RawMessage) error
+}
+
+func (k kind) newest() int { return len(k.steps) + 1 }
+
+var kinds = map[string]kind{
+	KindWorkspace: {steps: []step{workspaceFrom1}, check: checkWorkspace},
+	KindKey:       {check: checkKey},
+	KindZone:      {steps: []step{zoneFrom1}, check: checkZone},
+	KindRollout:   {check: checkRollout},
+	KindRoute:     {check: checkRoute},
+}
+
+// Kinds lists the kinds of record in order.
+func Kinds() []string {
+	return []string{KindKey, KindRollout, KindRoute, KindWorkspace, KindZone}
+}
+
+// Newest returns the newest schema version of a kind, or zero.
+func Newest(name string) int {
+	k, ok := kinds[name]
+	if !ok {
+		return 0
+	}
+	return k.newest()
+}
+
+// Check reports whether a submitted record is acceptable by itself. The error
+// is a *strictjson.FieldError or a *strictjson.SyntaxError.
+func Check(r Record) error {
+	if err := strictjson.OneOf("kind", r.Kind, Kinds()...); err != nil {
+		return err
+	}
+	if !namePattern.MatchString(r.Name) {
+		return &strictjson.FieldError{Field: "name", Problem: "must be 1 to 63 lower-case letters, digits or hyphens"}
+	}
+	if r.Withdrawn {
+		return nil
+	}
+	spec, err := Convert(r, Newest(r.Kind))
+	if err != nil {
+		return err
+	}
+	return kinds[r.Kind].check(spec)
+}
+
+// Convert returns the record's spec in a schema version that is not older
+// than the submitted one.
+func Convert(r Record, schema int) (json.RawMessage, error) {
+	k := kinds[r.Kind]
+	if r.Schema < 1 || r.Schema > k.newest() {
+		return nil, &strictjson.FieldError{Field: "schema", Problem: fmt.Sprintf("is %d", r.Schema), Allowed: versions(k.newest())}
+	}
+	if schema < r.Schema || schema > k.newest() {
+		return nil, &strictjson.FieldError{Field: "schema", Problem: fmt.Sprintf("can not be %d for a record of schema %d", schema, r.Schema)}
+	}
+	spec := r.Spec
+	for v := r.Schema; v < schema; v++ {
+		next, err := k.steps[v-1](spec)
+		if err != nil {
+			return nil, err
+		}
+		if spec, err = json.Marshal(next); err != nil {
+			return nil, err
+		}
+	}
+	return spec, nil
+}
+
+func versions(newest int) []string {
+	var all []string
+	for v := 1; v <= newest; v++ {
+		all = append(all, strconv.Itoa(v))
+	}
+	return all
+}
+
+// Decode returns the record's spec in the newest form.
+func Decode[T any](r Record) (T, error) {
+	var spec T
+	raw, err := Convert(r, Newest(r.Kind))
+	if err != nil {
+		return spec, err
+	}
+	err = strictjson.Decode(raw, &spec)
+	return spec, err
+}
+
+// workspace1 is schema 1 of a workspace.
+type workspace1 struct {
+	Share int `json:"share"`
+}
+
+func workspaceFrom1(raw json.RawMessage) (any, error) {
+	var old workspace1
+	if err := strictjson.Decode(raw, &old); err != nil {
+		return nil, err
+	}
+	return Workspace{Weight: float64(old.Share)}, nil
+}
+
+// zone1 is schema 1 of a zone.
+type zone1 struct {
+	Out bool `json:"out"`
+}
+
+func zoneFrom1(raw json.RawMessage) (any, error) {
+	var old zone1
+	if err := strictjson.Decode(raw, &old); err != nil {
+		return nil, err
+	}
+	if old.Out {
+		return Zone{State: "out"}, nil
+	}
+	return Zone{State: "in"}, nil
+}
+
+func checkWorkspace(raw json.RawMessage) error {
+	var w Workspace
+	if err := strictjson.Decode(raw, &w); err != nil {
+		return err
+	}
+	return errFirst(
+		require("weight", w.Weight > 0 && w.Weight <= 1000, "must be above 0 and at most 1000"),
+		require("deadline", w.Deadline >= 0 && w.Deadline <= 3_600_000, "must be 0 to 3600000 milliseconds"),
+	)
+}
+
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+func checkKey(raw json.RawMessage) error {
+	var k Key
+	if err := strictjson.Decode(raw, &k); err != nil {
+		return err
+	}
+	return errFirst(
+		require("workspace", namePattern.MatchString(k.Workspace), "must name a workspace"),
+		require("hash", hashPattern.MatchString(k.Hash), "must be 64 lower-case hex digits"),
+	)
+}
+
+func checkZone(raw json.RawMessage) error {
+	var z Zone
+	if err := strictjson.Decode(raw, &z); err != nil {
+		return err
+	}
+	for pool, least := range z.Least {
+		if most, ok := z.Most[pool]; least < 0 || (ok && most < least) {
+			return &strictjson.FieldError{Field: "least." + pool, Problem: "must be 0 or more and at most \"most\""}
+		}
+	}
+	return errFirst(
+		strictjson.OneOf("state", z.State, "in", "out"),
+		require("price", z.Price >= 0, "must not be negative"),
+		require("cheap", z.Cheap >= 0 && z.Cheap <= 1, "must be 0 to 1"),
+	)
+}
+
+func checkRollout(raw json.RawMessage) error {
+	var r Rollout
+	if err := strictjson.Decode(raw, &r); err != nil {
+		return err
+	}
+	return errFirst(
+		require("workspace", namePattern.MatchString(r.Workspace), "must name a workspace"),
+		require("pool", namePattern.MatchString(r.Pool), "must name a pool"),
+		require("tokens", r.Tokens > 0 && r.Tokens <= 1_000_000, "must be 1 to 1000000"),
+	)
+}
+
+var methods = []string{"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"}
+
+func checkRoute(raw json.RawMessage) error {
+	var r Route
+	if err := strictjson.Decode(raw, &r); err != nil {
+		return err
+	}
+	for _, m := range r.Idempotent {
+		if !slices.Contains(methods, m) {
+			return &strictjson.FieldError{Field: "idempotent", Problem: fmt.Sprintf("has the value %q", m), Allowed: methods}
+		}
+	}
+	return errFirst(
+		require("prefix", len(r.Prefix) > 1 && r.Prefix[0] == '/' && r.Prefix[len(r.Prefix)-1] == '/', "must start and end with \"/\""),
+		require("prefix", len(r.Prefix) < 4 || r.Prefix[:4] != "/v1/", "must not lie under \"/v1/\""),
+		require("pool", namePattern.MatchString(r.Pool), "must name a pool"),
+		require("timeout", r.Timeout >= 0 && r.Timeout <= 3_600_000, "must be 0 to 3600000 milliseconds"),
+	)
+}
+
+func require(field string, ok bool, problem string) error {
+	if ok {
+		return nil
+	}
+	return &strictjson.FieldError{Field: field, Problem: problem}
+}
+
+func errFirst(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/version/strictjson/strictjson.go
@@ -0,0 +1,159 @@
+// Package strictjson decodes JSON into plain structs and refuses unknown
+// fields with a hint at the field that was probably meant.
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// FieldError reports a field that can not be accepted.
+type FieldError struct {
+	// Field is the path of the field, such as "listen.callers".
+	Field string
+	// Problem says what is wrong, in words that follow the field's name.
+	Problem string
+	// Allowed lists the accepted values or names, if they are few.
+	Allowed []string
+	// Hint is the name that was probably meant, or empty.
+	Hint string
+}
+
+func (e *FieldError) Error() string {
+	text := fmt.Sprintf("field %q %s", e.Field, e.Problem)
+	if e.Hint != "" {
+		text += fmt.Sprintf(", did you mean %q?", e.Hint)
+	}
+	if len(e.Allowed) > 0 {
+		text += "; allowed: " + strings.Join(e.Allowed, ", ")
+	}
+	return text
+}
+
+// SyntaxError reports text that is not JSON.
+type SyntaxError struct{ Reason string }
+
+func (e *SyntaxError) Error() string { return "not valid JSON: " + e.Reason }
+
+// DecodeCommented decodes JSON with comments and trailing commas.
+func DecodeCommented(data []byte, into any) error {
+	plain, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return &SyntaxError{Reason: strings.TrimPrefix(err.Error(), "hujson: ")}
+	}
+	return Decode(plain, into)
+}
+
+// Decode decodes one JSON value into the struct that into points to. The error
+// is a *FieldError or a *SyntaxError.
+func Decode(data []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return explain(err, into)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return &SyntaxError{Reason: "text after the value"}
+	}
+	return nil
+}
+
+func explain(err error, into any) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return &FieldError{Field: wrong.Field, Problem: fmt.Sprintf("must be %s, not %s", words(wrong.Type), wrong.Value)}
+	}
+	var field *FieldError
+	if errors.As(err, &field) {
+		return field
+	}
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		name = strings.Trim(name, `"`)
+		names := fieldNames(reflect.TypeOf(into), nil)
+		return &FieldError{Field: name, Problem: "is unknown", Hint: nearest(name, names)}
+	}
+	return &SyntaxError{Reason: strings.TrimPrefix(err.Error(), "json: ")}
+}
+
+// words names a Go type in the terms of JSON.
+func words(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Slice:
+		return "a list"
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	default:
+		return "a number"
+	}
+}
+
+// fieldNames lists the JSON names of a struct and of the structs inside it.
+func fieldNames(t reflect.Type, names []string) []string {
+	for t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice {
+		t = t.Elem()
+	}
+	if t.Kind() != reflect.Struct {
+		return names
+	}
+	for f := range t.Fields() {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			names = append(names, name)
+		}
+		names = fieldNames(f.Type, names)
+	}
+	return names
+}
+
+// nearest returns the name at the smallest edit distance, or empty if none is
+// close.
+func nearest(name string, names []string) string {
+	best, least := "", max(2, len(name)/2)+1
+	for _, n := range names {
+		if d := distance(strings.ToLower(name), n); d < least {
+			best, least = n, d
+		}
+	}
+	return best
+}
+
+// distance is the Levenshtein distance.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := diagonal
+			if a[i] != b[j] {
+				cost = 1 + min(diagonal, row[j], row[j+1])
+			}
+			diagonal, row[j+1] = row[j+1], cost
+		}
+	}
+	return row[len(b)]
+}
+
+// OneOf returns a *FieldError unless value is among the allowed ones.
+func OneOf(field, value string, allowed ...string) error {
+	if slices.Contains(allowed, value) {
+		return nil
+	}
+	return &FieldError{Field: field, Problem: fmt.Sprintf("has the value %q", value),
+		Allowed: allowed, Hint: nearest(value, allowed)}
+}
