Test the replicated log and the disk under faults

Cause: the log and the disk carry every promise and had no test. Change: random schedules over the core, vote and commit tables, crash points of the disk.

--- /dev/null
+++ b/pkg/process/quorum/core_test.go
@@ -0,0 +1,425 @@
+package quorum
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fakeReplica is a core with the disk that survives its crashes.
+type fakeReplica struct {
+	core *Core
+	disk Persisted
+	up   bool
+}
+
+// group runs replicas against a network that drops, repeats and reorders.
+type group struct {
+	t        *rapid.T
+	now      time.Time
+	replicas map[NodeID]*fakeReplica
+	flying   []Message
+	leaders  map[uint64]NodeID
+	applied  map[uint64]string
+	// cut holds the replicas whose messages do not arrive, in one direction.
+	cut      map[[2]NodeID]bool
+	proposed int
+	rng      *rand.Rand
+}
+
+func newGroup(t *rapid.T, n int) *group {
+	g := &group{t: t, now: time.Unix(1000, 0), replicas: map[NodeID]*fakeReplica{}, leaders: map[uint64]NodeID{},
+		applied: map[uint64]string{}, cut: map[[2]NodeID]bool{}}
+	var members Members
+	for i := 1; i <= n; i++ {
+		members = append(members, Member{ID: NodeID(i), Addr: fmt.Sprint(i)})
+	}
+	for _, m := range members {
+		g.replicas[m.ID] = &fakeReplica{}
+		g.restart(m.ID)
+	}
+	if err := g.replicas[1].core.Form(members); err != nil {
+		t.Fatal(err)
+	}
+	g.process(1, true)
+	return g
+}
+
+func (g *group) restart(id NodeID) {
+	r := g.replicas[id]
+	r.core = NewCore(id, DefaultTiming(), uint64(id), Persisted{r.disk.Hard, r.disk.Snapshot, slices.Clone(r.disk.Entries)}, g.now)
+	r.up = true
+}
+
+// process carries out a replica's work. Without send, it crashes after the
+// disk write and before any message leaves.
+func (g *group) process(id NodeID, send bool) {
+	r := g.replicas[id]
+	for {
+		rd := r.core.Ready()
+		if rd.Empty() {
+			break
+		}
+		r.disk.persist(rd)
+		if !send {
+			r.up = false
+			return
+		}
+		g.flying = append(g.flying, rd.Messages...)
+		for _, e := range rd.Committed {
+			g.checkApplied(id, e)
+		}
+		r.core.Advance(rd)
+	}
+	if r.core.role == Leader {
+		if old, ok := g.leaders[r.core.hard.Term]; ok && old != id {
+			g.t.Fatalf("two leaders in term %d: %d and %d", r.core.hard.Term, old, id)
+		}
+		g.leaders[r.core.hard.Term] = id
+	}
+	g.checkLeases()
+}
+
+func (p *Persisted) persist(rd Ready) {
+	if rd.Hard != nil {
+		p.Hard = *rd.Hard
+	}
+	if rd.Snapshot != nil {
+		p.Snapshot = *rd.Snapshot
+		p.Entries = slices.DeleteFunc(p.Entries, func(e Entry) bool { return e.Index <= rd.Snapshot.Index })
+		if len(p.Entries) > 0 && p.Entries[0].Index != rd.Snapshot.Index+1 {
+			p.Entries = nil
+		}
+	}
+	if len(rd.Entries) > 0 {
+		first := rd.Entries[0].Index
+		p.Entries = slices.DeleteFunc(p.Entries, func(e Entry) bool { return e.Index >= first })
+		p.Entries = append(p.Entries, rd.Entries...)
+	}
+}
+
+func (g *group) checkApplied(id NodeID, e Entry) {
+	got := fmt.Sprintf("%d/%d/%s", e.Term, e.Kind, e.Data)
+	if want, ok := g.applied[e.Index]; ok && want != got {
+		g.t.Fatalf("replica %d applies %s at %d, another applied %s", id, got, e.Index, want)
+	}
+	g.applied[e.Index] = got
+}
+
+// checkLeases fails if two replicas hold a lease at once, or if a holder lacks
+// an entry that was applied anywhere.
+func (g *group) checkLeases() {
+	holders := 0
+	for id, r := range g.replicas {
+		if _, ok := r.core.LeaseUntil(g.now); !ok || !r.up {
+			continue
+		}
+		holders++
+		for index := range maps.Keys(g.applied) {
+			if index > r.core.applied {
+				g.t.Fatalf("replica %d holds the lease but has applied only %d of %d", id, r.core.applied, index)
+			}
+		}
+	}
+	if holders > 1 {
+		g.t.Fatalf("%d replicas hold the lease at once", holders)
+	}
+}
+
+func (g *group) live() []NodeID {
+	var ids []NodeID
+	for id, r := range g.replicas {
+		if r.up {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (g *group) all() []NodeID { return slices.Sorted(maps.Keys(g.replicas)) }
+
+func (g *group) advance(d time.Duration) {
+	g.now = g.now.Add(d)
+	for _, id := range g.live() {
+		g.replicas[id].core.Tick(g.now)
+		g.process(id, true)
+	}
+}
+
+// deliver hands over the message at i; it stays in flight if repeated.
+func (g *group) deliver(i int, repeat bool) {
+	m := g.flying[i]
+	if !repeat {
+		g.flying = slices.Delete(g.flying, i, i+1)
+	}
+	r := g.replicas[m.To]
+	if r == nil || !r.up || g.cut[[2]NodeID{m.From, m.To}] {
+		return
+	}
+	r.core.Step(m, g.now)
+	g.process(m.To, true)
+}
+
+func (g *group) leader() (NodeID, bool) {
+	for _, id := range g.live() {
+		if g.replicas[id].core.role == Leader {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
+func (g *group) propose(id NodeID, send bool) {
+	g.proposed++
+	c := g.replicas[id].core
+	if _, _, err := c.Propose(EntryCommand, fmt.Appendf(nil, "c%d", g.proposed)); err == nil {
+		c.Flush(g.now)
+		g.process(id, send)
+	}
+}
+
+// scheduleLength is the number of random actions of one schedule.
+const scheduleLength = 4000
+
+// TestCoreKeepsCommittedEntries runs random faults and checks that committed
+// entries are never lost, no term has two leaders, and no two leases overlap.
+func TestCoreKeepsCommittedEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 5}).Draw(t, "replicas")
+		seed := rapid.Uint64().Draw(t, "seed")
+		g := newGroup(t, n)
+		g.rng = rand.New(rand.NewPCG(seed, 1))
+		for range scheduleLength {
+			g.act()
+		}
+	})
+}
+
+// act does one random thing. Most of them let the group work, so that faults
+// meet a group that has something to lose.
+func (g *group) act() {
+	switch p := g.rng.IntN(10_000); {
+	case p < 5000:
+		for range min(len(g.flying), 1+g.rng.IntN(6)) {
+			g.deliver(g.rng.IntN(min(len(g.flying), 4)), g.rng.IntN(30) == 0)
+		}
+	case p < 9000:
+		g.advance(time.Duration(1+g.rng.IntN(80)) * time.Millisecond)
+	case p < 9100 && len(g.flying) > 0:
+		i := g.rng.IntN(len(g.flying))
+		g.flying = slices.Delete(g.flying, i, i+1)
+	case p < 9700:
+		if id, ok := g.leader(); ok {
+			g.propose(id, p < 9680)
+		}
+	case p < 9720 && len(g.live()) > 1:
+		g.replicas[g.pick(g.live())].up = false
+	case p < 9770:
+		g.restart(g.pick(g.all()))
+	case p < 9810:
+		g.cutSome(p < 9790)
+	case p < 9860:
+		clear(g.cut)
+	case p < 9890:
+		g.compact(g.pick(g.all()))
+	case p < 9905:
+		g.change()
+	}
+}
+
+// cutSome cuts a replica, often the leader, from some of the others.
+func (g *group) cutSome(bothWays bool) {
+	a := g.pick(g.all())
+	if id, ok := g.leader(); ok && g.rng.IntN(2) == 0 {
+		a = id
+	}
+	for _, b := range g.all() {
+		if g.rng.IntN(3) == 0 {
+			continue
+		}
+		g.cut[[2]NodeID{a, b}] = true
+		if bothWays {
+			g.cut[[2]NodeID{b, a}] = true
+		}
+	}
+}
+
+func (g *group) pick(ids []NodeID) NodeID { return ids[g.rng.IntN(len(ids))] }
+
+func (g *group) compact(id NodeID) {
+	r := g.replicas[id]
+	if !r.up || r.core.applied <= r.core.log.snap.Index {
+		return
+	}
+	r.disk.Snapshot = r.core.Compact(r.core.applied, []byte("s"))
+	r.disk.Entries = slices.Clone(r.core.log.entries)
+}
+
+// change adds a fresh replica as a learner, promotes one or removes one.
+func (g *group) change() {
+	id, ok := g.leader()
+	if !ok {
+		return
+	}
+	c := g.replicas[id].core
+	current := c.log.current()
+	next := current
+	target := current[g.rng.IntN(len(current))]
+	switch {
+	case target.Learner:
+		next = current.With(Member{ID: target.ID, Addr: target.Addr})
+	case len(current) < 6:
+		fresh := NodeID(len(g.replicas) + 1)
+		g.replicas[fresh] = &fakeReplica{}
+		g.restart(fresh)
+		next = current.With(Member{ID: fresh, Addr: fmt.Sprint(fresh), Learner: true})
+	case len(current.Voters()) > 2:
+		next = current.Without(target.ID)
+	}
+	if _, _, err := c.ProposeMembers(next); err == nil {
+		g.process(id, true)
+	}
+}
+
+// settle delivers everything until the group is quiet for a while.
+func (g *group) settle(d time.Duration) {
+	for end := g.now.Add(d); g.now.Before(end); {
+		g.advance(25 * time.Millisecond)
+		for len(g.flying) > 0 {
+			g.deliver(0, false)
+		}
+	}
+}
+
+// withGroup runs one deterministic case on a group.
+func withGroup(t *testing.T, n int, f func(g *group)) {
+	t.Helper()
+	ran := false
+	rapid.Check(t, func(rt *rapid.T) {
+		if ran {
+			return
+		}
+		ran = true
+		f(newGroup(rt, n))
+	})
+}
+
+func (g *group) mustLead() NodeID {
+	id, ok := g.leader()
+	if !ok {
+		g.t.Fatal("no replica leads")
+	}
+	return id
+}
+
+func TestIsolatedReplicaDoesNotDisruptOnReturn(t *testing.T) {
+	withGroup(t, 3, func(g *group) {
+		g.settle(3 * time.Second)
+		leader := g.mustLead()
+		term := g.replicas[leader].core.hard.Term
+		lost := leader%3 + 1
+		for id := range g.replicas {
+			g.cut[[2]NodeID{lost, id}], g.cut[[2]NodeID{id, lost}] = true, true
+		}
+		g.settle(10 * time.Minute)
+		clear(g.cut)
+		g.settle(5 * time.Second)
+		if now := g.mustLead(); now != leader || g.replicas[leader].core.hard.Term != term {
+			g.t.Fatalf("leader %d of term %d became %d of term %d", leader, term, now, g.replicas[now].core.hard.Term)
+		}
+	})
+}
+
+func TestOneWayCutLeaderStepsDown(t *testing.T) {
+	withGroup(t, 3, func(g *group) {
+		g.settle(3 * time.Second)
+		old := g.mustLead()
+		for id := range g.replicas {
+			g.cut[[2]NodeID{id, old}] = true // it still sends, but hears nothing
+		}
+		g.settle(6 * time.Second)
+		if g.replicas[old].core.role == Leader {
+			g.t.Fatalf("leader %d did not step down without answers", old)
+		}
+	})
+}
+
+func TestOlderTermWithLongerLogCanStillWin(t *testing.T) {
+	long := Persisted{Hard: HardState{Term: 4}}
+	short := Persisted{Hard: HardState{Term: 5}}
+	members := Members{{ID: 1, Addr: "1"}, {ID: 2, Addr: "2"}}
+	first := Entry{Index: 1, Term: 1, Kind: EntryMembers, Data: members.Encode()}
+	long.Entries = []Entry{first, {Index: 2, Term: 4, Kind: EntryNoop}}
+	short.Entries = []Entry{first}
+	withGroup(t, 3, func(g *group) {
+		g.replicas = map[NodeID]*fakeReplica{1: {disk: long}, 2: {disk: short}}
+		g.flying = nil
+		g.restart(1)
+		g.restart(2)
+		g.settle(30 * time.Second)
+		if id := g.mustLead(); id != 1 {
+			g.t.Fatalf("replica %d leads without the longer log", id)
+		}
+	})
+}
+
+func TestReplacedDiskNeverVotesUnderTheOldName(t *testing.T) {
+	withGroup(t, 3, func(g *group) {
+		g.settle(3 * time.Second)
+		leader := g.mustLead()
+		lost := leader%3 + 1
+		other := 6 - leader - lost
+		g.replicas[lost].up = false
+		fresh := NodeID(9)
+		g.replicas[fresh] = &fakeReplica{}
+		g.restart(fresh)
+		lead := g.replicas[leader].core
+		g.mustChange(leader, lead.log.current().With(Member{ID: fresh, Addr: "9", Learner: true}))
+		g.replicas[fresh].core.Step(Message{Kind: MsgVote, From: other, To: fresh, Term: 99}, g.now)
+		if g.replicas[fresh].core.hard.Vote != 0 {
+			g.t.Fatal("a fresh replica voted at once")
+		}
+		g.settle(time.Second)
+		g.mustChange(leader, lead.log.current().With(Member{ID: fresh, Addr: "9"}))
+		g.mustChange(leader, lead.log.current().Without(lost))
+		g.propose(leader, true)
+		g.settle(time.Second)
+		committed := lead.commit
+		g.replicas[other].up = false // the second host, right after the repair
+		g.settle(5 * time.Second)
+		id := g.mustLead()
+		if c := g.replicas[id].core; c.commit < committed {
+			g.t.Fatalf("commit fell from %d to %d", committed, c.commit)
+		}
+	})
+}
+
+func (g *group) mustChange(leader NodeID, m Members) {
+	if _, _, err := g.replicas[leader].core.ProposeMembers(m); err != nil {
+		g.t.Fatal(err)
+	}
+	g.process(leader, true)
+	g.settle(time.Second)
+}
+
+func TestProposeMembersRefuses(t *testing.T) {
+	withGroup(t, 3, func(g *group) {
+		g.settle(3 * time.Second)
+		c := g.replicas[g.mustLead()].core
+		current := c.log.current()
+		for name, next := range map[string]Members{
+			"two voters at once": current.Without(1).Without(2),
+			"no voter left":      {},
+		} {
+			if _, _, err := c.ProposeMembers(next); err == nil {
+				g.t.Errorf("%s: accepted", name)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/process/quorum/vote_test.go
@@ -0,0 +1,133 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(5000, 0)
+
+// replica returns core 1 of three with a log that ends at index 3, term 3.
+func replica(now time.Time) *Core {
+	members := Members{{ID: 1}, {ID: 2}, {ID: 3}}
+	return NewCore(1, DefaultTiming(), 1, Persisted{Hard: HardState{Term: 3}, Entries: []Entry{
+		{Index: 1, Term: 1, Kind: EntryMembers, Data: members.Encode()},
+		{Index: 2, Term: 2, Kind: EntryNoop}, {Index: 3, Term: 3, Kind: EntryNoop},
+	}}, now)
+}
+
+func TestVotes(t *testing.T) {
+	late := start.Add(2 * DefaultTiming().Election)
+	for _, c := range []struct {
+		name    string
+		prepare func(*Core)
+		now     time.Time
+		vote    Message
+		granted bool
+	}{
+		{"fresh log after the timeout", nil, late, Message{Term: 4, LogIndex: 3, LogTerm: 3}, true},
+		{"right after the start", nil, start.Add(time.Millisecond), Message{Term: 4, LogIndex: 3, LogTerm: 3}, false},
+		{"shorter log", nil, late, Message{Term: 4, LogIndex: 2, LogTerm: 3}, false},
+		{"longer log of an older term", nil, late, Message{Term: 4, LogIndex: 9, LogTerm: 2}, false},
+		{"older term", nil, late, Message{Term: 2, LogIndex: 3, LogTerm: 3}, false},
+		{"voted for another", func(c *Core) { c.hard = HardState{Term: 4, Vote: 3} }, late, Message{Term: 4, LogIndex: 3, LogTerm: 3}, false},
+		{"voted for the same", func(c *Core) { c.hard = HardState{Term: 4, Vote: 2} }, late, Message{Term: 4, LogIndex: 3, LogTerm: 3}, true},
+		{"term known, vote free", func(c *Core) { c.hard = HardState{Term: 4} }, late, Message{Term: 4, LogIndex: 3, LogTerm: 3}, true},
+		{"leader heard just now", func(c *Core) {
+			c.Step(Message{Kind: MsgAppend, From: 3, To: 1, Term: 3, LogIndex: 3, LogTerm: 3}, late.Add(-time.Millisecond))
+		}, late, Message{Term: 4, LogIndex: 3, LogTerm: 3}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := replica(start)
+			if c.prepare != nil {
+				c.prepare(core)
+			}
+			core.Ready()
+			before := core.hard.Vote
+			c.vote.Kind, c.vote.From, c.vote.To = MsgVote, 2, 1
+			core.Step(c.vote, c.now)
+			r := core.Ready()
+			granted := len(r.Messages) == 1 && r.Messages[0].Kind == MsgVoteReply && !r.Messages[0].Reject
+			if granted != c.granted {
+				t.Fatalf("granted %v, messages %+v", granted, r.Messages)
+			}
+			if granted && before != 2 && (r.Hard == nil || r.Hard.Vote != 2 || r.Hard.Term != 4) {
+				t.Fatalf("the vote is not handed out to be persisted: %+v", r.Hard)
+			}
+		})
+	}
+}
+
+// lead makes core 1 the leader of term 4.
+func lead(t *testing.T, c *Core) time.Time {
+	t.Helper()
+	now := start.Add(3 * DefaultTiming().Election)
+	c.Tick(now)
+	c.Step(Message{Kind: MsgPreVoteReply, From: 2, To: 1, Term: 4}, now)
+	c.Step(Message{Kind: MsgVoteReply, From: 2, To: 1, Term: 4}, now)
+	if c.role != Leader {
+		t.Fatalf("core is a %s", c.role)
+	}
+	return now
+}
+
+func TestEarlierTermsCommitOnlyWithTheOwnTerm(t *testing.T) {
+	c := replica(start)
+	now := lead(t, c)
+	c.Advance(c.Ready())
+	c.Step(Message{Kind: MsgAppendReply, From: 2, To: 1, Term: 4, LogIndex: 3}, now)
+	if c.commit != 0 {
+		t.Fatalf("committed %d by counting replicas of an earlier term", c.commit)
+	}
+	c.Step(Message{Kind: MsgAppendReply, From: 2, To: 1, Term: 4, LogIndex: 4}, now)
+	if c.commit != 4 {
+		t.Fatalf("commit is %d, want 4", c.commit)
+	}
+}
+
+func TestLeaderCountsItselfOnlyAfterItsDisk(t *testing.T) {
+	c := replica(start)
+	now := lead(t, c)
+	r := c.Ready()
+	c.Step(Message{Kind: MsgAppendReply, From: 2, To: 1, Term: 4, LogIndex: 4}, now)
+	if c.commit != 0 {
+		t.Fatalf("committed %d before the own disk had it", c.commit)
+	}
+	c.Advance(r)
+	if c.commit != 4 {
+		t.Fatalf("commit is %d, want 4", c.commit)
+	}
+}
+
+func TestLeaseCountsFromTheSendTime(t *testing.T) {
+	c := replica(start)
+	now := lead(t, c)
+	c.Advance(c.Ready())
+	answered := now.Add(500 * time.Millisecond)
+	c.Step(Message{Kind: MsgAppendReply, From: 2, To: 1, Term: 4, LogIndex: 4, Round: 1}, answered)
+	c.Advance(c.Ready())
+	until, ok := c.LeaseUntil(answered)
+	if want := now.Add(DefaultTiming().Lease); !ok || !until.Equal(want) {
+		t.Fatalf("lease until %v (%v), want %v", until, ok, want)
+	}
+	if _, ok := c.LeaseUntil(now.Add(DefaultTiming().Lease)); ok {
+		t.Fatal("the lease outlives its period")
+	}
+}
+
+func TestSecondMembershipChangeWaitsForTheFirst(t *testing.T) {
+	c := replica(start)
+	now := lead(t, c)
+	c.Advance(c.Ready())
+	add := c.log.current().With(Member{ID: 4, Learner: true})
+	if _, _, err := c.ProposeMembers(add); err == nil {
+		t.Fatal("accepted before the own term's first entry was committed")
+	}
+	c.Step(Message{Kind: MsgAppendReply, From: 2, To: 1, Term: 4, LogIndex: 4}, now)
+	if _, _, err := c.ProposeMembers(add); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := c.ProposeMembers(c.log.current().Without(3)); err == nil {
+		t.Fatal("accepted while the first change is not committed")
+	}
+}
