Test steps under kills and new weights with real processes

Change: process tests that kill the leader, two entry hosts, an engine and a scorer in the middle of a step, and publish weights while two swaps fail.

--- /dev/null
+++ b/internal/deployment/step_test.go
@@ -0,0 +1,82 @@
+package deployment
+
+import (
+	"testing"
+	"time"
+)
+
+// TestKillDuringStep kills one process of each kind in the middle of a step;
+// the step completes, each sample once.
+func TestKillDuringStep(t *testing.T) {
+	t.Parallel()
+	d := start(t, nil)
+	tr := trainer(t, d)
+	ctx := bounded(t)
+	must(t, tr.Publish(ctx, 1))
+	for i, victim := range []string{"leader", "entry-1", "slips-0", "scorer-0", "entry-0"} {
+		number := uint64(i + 1)
+		if victim == "leader" {
+			victim = []string{"control-0", "control-1", "control-2"}[leader(t, d)]
+		}
+		must(t, tr.Open(ctx, number))
+		await(t, "the step to be under way", func() bool {
+			var s struct{ Filled int }
+			return tr.Call(ctx, "GET", "/v1/steps/slip-reader/"+string(rune('0'+number)), nil, &s) == nil && s.Filled > 0
+		})
+		d.Process(victim).Kill()
+		samples, err := tr.Collect(ctx, number, 1)
+		if err != nil {
+			t.Fatalf("after killing %s: %v", victim, err)
+		}
+		checkWhole(t, samples, tr.Groups*tr.Samples, 1)
+		restart(t, d, victim)
+	}
+}
+
+// restart starts a killed process again.
+func restart(t *testing.T, d *Deployment, name string) {
+	t.Helper()
+	var err error
+	switch name {
+	case "control-0", "control-1", "control-2":
+		_, err = d.StartControl(int(name[8] - '0'))
+	case "entry-0", "entry-1", "entry-2":
+		_, err = d.StartEntry(int(name[6] - '0'))
+		must(t, err)
+		await(t, name+" to be ready", func() bool { return d.Ready(int(name[6] - '0')) })
+	case "slips-0":
+		_, err = d.StartServer(0)
+	case "scorer-0":
+		_, err = d.StartServer(5)
+	}
+	must(t, err)
+}
+
+// TestNewWeightsDuringStep publishes versions while samples are produced: no
+// delivered sample is older than the bound, and spans name what engines said.
+func TestNewWeightsDuringStep(t *testing.T) {
+	t.Parallel()
+	d := start(t, nil)
+	postJSON(t, "http://"+d.ServerAddr(1)+"/fault", `{"swaps":2}`) // two swaps of one engine fail
+	tr := trainer(t, d)
+	tr.Groups = 12
+	ctx := bounded(t)
+	must(t, tr.Publish(ctx, 1))
+	must(t, tr.Open(ctx, 1))
+	stop := make(chan struct{})
+	go func() {
+		for v := uint64(2); ; v++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(1500 * time.Millisecond):
+				tr2 := *tr
+				_ = tr2.Publish(ctx, v)
+			}
+		}
+	}()
+	samples, err := tr.Collect(ctx, 1, 1)
+	close(stop)
+	must(t, err)
+	checkWhole(t, samples, tr.Groups*tr.Samples, 1)
+}
