Keep keys out of logs and refuse bodies of both length forms

Cause: the HTTP library logs the bytes of a request it can not parse, key included, and accepts Content-Length beside Transfer-Encoding. Ruled out: the library's LogAllErrors switch, which does not cover parse errors. Change: connection errors are only counted; such bodies are refused and the connection closed. Orders now check the lease again at every write to the socket.

--- a/internal/deployment/access_test.go
+++ b/internal/deployment/access_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -74,9 +76,23 @@
 			t.Errorf("entry %d answered %d %s", i, code, body)
 		}
 	}
+	malformed(t, d, k)
 	checkNoKeyAnywhere(t, d, k)
 }
 
+// malformed sends a request with a key that can not be parsed, and waits until
+// the connection is closed.
+func malformed(t *testing.T, d *Deployment, key string) {
+	t.Helper()
+	for _, addr := range []string{d.CallerAddr(0), d.OperatorAddr(0)} {
+		c, err := net.Dial("tcp", addr)
+		must(t, err)
+		fmt.Fprintf(c, "POST /x HTTP/1.1\r\nAuthorization: Bearer %s\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy", key)
+		io.Copy(io.Discard, c)
+		c.Close()
+	}
+}
+
 // TestCutOffHostRefuses freezes all control hosts, so that the entry hosts are
 // cut off: streams end and new work is truly refused; afterwards it goes on.
 func TestCutOffHostRefuses(t *testing.T) {
--- /dev/null
+++ b/internal/deployment/shutdown_test.go
@@ -0,0 +1,153 @@
+package deployment
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestGracefulShutdownCutsNothing stops an entry host under streams, slow
+// callers and pooled connections, and a control leader under changes.
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	t.Parallel()
+	d := start(t, nil)
+	k := key(t, d, "training")
+	slow := slowStream(t, d, k)
+	var mu sync.Mutex
+	wrong := map[string]int{}
+	served, refused := 0, []string{}
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range 6 {
+		wg.Go(func() {
+			c := &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{}}
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				body := fmt.Sprintf("grace-%d-%d", i, n)
+				code, text, sent := pooled(c, d, k, body)
+				mu.Lock()
+				switch {
+				case code == http.StatusOK:
+					served++
+				case code != 0 && strings.Contains(text, `"ran":"no"`):
+					refused = append(refused, body)
+				case code == 0 && !sent:
+				default:
+					wrong[fmt.Sprintf("%d %s", code, text)]++
+				}
+				mu.Unlock()
+				if code == 0 {
+					return // the listener has closed
+				}
+			}
+		})
+	}
+	await(t, "work under way", func() bool { mu.Lock(); defer mu.Unlock(); return served > 50 })
+	must(t, d.Process("entry-0").Signal(syscall.SIGTERM))
+	must(t, d.Process("entry-0").Wait(20*time.Second))
+	close(stop)
+	wg.Wait()
+	if last := <-slow; !strings.Contains(last, "[DONE]") {
+		t.Errorf("the slow stream ended with %q", last)
+	}
+	if len(wrong) > 0 {
+		t.Errorf("cut or unclear answers: %v", wrong)
+	}
+	all := ran(t, d)
+	for _, body := range refused {
+		if all[body] > 0 {
+			t.Errorf("%s was refused as not run and ran", body)
+		}
+	}
+	checkNonIdempotent(t, all)
+
+	old := leader(t, d)
+	must(t, d.Process("control-"+strconv.Itoa(old)).Signal(syscall.SIGTERM))
+	must(t, d.Process("control-"+strconv.Itoa(old)).Wait(10*time.Second))
+	for _, w := range []string{"proofs", "multan-tea"} {
+		if code, text := change(d, 1, map[string]any{"request": "w-" + w, "kind": "workspace", "name": w, "withdraw": true, "replaces": revisionOf(t, d, w)}); code != http.StatusOK {
+			t.Errorf("a change during the leader's shutdown: %d %s", code, text)
+		}
+	}
+}
+
+func checkNonIdempotent(t *testing.T, all map[string]int) {
+	t.Helper()
+	for body, n := range all {
+		if n > 1 {
+			t.Errorf("%q ran %d times", body, n)
+		}
+	}
+}
+
+func revisionOf(t *testing.T, d *Deployment, name string) int {
+	t.Helper()
+	req, _ := http.NewRequest(http.MethodGet, "http://"+d.OperatorAddr(1)+"/operator/records?kind=workspace&name="+name, nil)
+	req.Header.Set("Authorization", "Bearer "+OperatorToken)
+	res, err := http.DefaultClient.Do(req)
+	must(t, err)
+	defer res.Body.Close()
+	data, _ := io.ReadAll(res.Body)
+	_, rest, _ := bytes.Cut(data, []byte(`"revision":`))
+	_, rest, _ = bytes.Cut(rest, []byte(`"revision":`)) // the first one is the configuration's
+	n, err := strconv.Atoi(string(rest[:bytes.IndexAny(rest, ",}")]))
+	must(t, err)
+	return n
+}
+
+// pooled sends a plain request over a kept-alive connection. sent is false if
+// no connection could be made.
+func pooled(c *http.Client, d *Deployment, key, body string) (code int, text string, sent bool) {
+	req, _ := http.NewRequest(http.MethodPost, "http://"+d.CallerAddr(0)+"/reorder/x", strings.NewReader(body))
+	req.GetBody = nil // no silent repeat by this client
+	req.Header.Set("Authorization", "Bearer "+key)
+	res, err := c.Do(req)
+	if err != nil {
+		return 0, err.Error(), !strings.Contains(err.Error(), "refused")
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, err.Error(), true
+	}
+	return res.StatusCode, string(data), true
+}
+
+// slowStream reads a stream of a few seconds slowly and returns its last line.
+func slowStream(t *testing.T, d *Deployment, key string) <-chan string {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.CallerAddr(0)+"/v1/completions",
+		strings.NewReader(`{"model":"slips","prompt":"slow","max_tokens":600,"stream":true}`))
+	must(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	res, err := http.DefaultClient.Do(req)
+	must(t, err)
+	out := make(chan string, 1)
+	go func() {
+		defer res.Body.Close()
+		var all strings.Builder
+		buf := make([]byte, 2048)
+		for {
+			n, err := res.Body.Read(buf)
+			all.Write(buf[:n])
+			if err != nil {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		lines := strings.Fields(all.String())
+		out <- lines[len(lines)-1]
+	}()
+	return out
+}
--- a/pkg/connection/caller/caller.go
+++ b/pkg/connection/caller/caller.go
@@ -61,6 +61,11 @@
 // Serve answers one request.
 func (h *Handler) Serve(ctx *fasthttp.RequestCtx) {
 	h.cfg.Scope.Counter("requests").Inc(1)
+	if ambiguous(ctx) {
+		ctx.SetConnectionClose()
+		answer.WriteError(ctx, answer.Invalid("Content-Length", "can not stand beside Transfer-Encoding"))
+		return
+	}
 	switch path := string(ctx.Path()); {
 	case path == "/healthz":
 		ctx.SetBodyString("ok\n")
@@ -75,6 +80,17 @@
 	}
 }
 
+// ambiguous reports whether a request has a body of both forms, which is how
+// requests are smuggled past a proxy (RFC 9112, section 6.1).
+func ambiguous(ctx *fasthttp.RequestCtx) bool {
+	raw := bytes.ToLower(ctx.Request.Header.RawHeaders())
+	return hasHeader(raw, "content-length:") && hasHeader(raw, "transfer-encoding:")
+}
+
+func hasHeader(raw []byte, name string) bool {
+	return bytes.HasPrefix(raw, []byte(name)) || bytes.Contains(raw, []byte("\n"+name))
+}
+
 func (h *Handler) readyz(ctx *fasthttp.RequestCtx) {
 	if !h.cfg.Ready() {
 		ctx.SetStatusCode(http.StatusServiceUnavailable)
--- a/pkg/process/control/control.go
+++ b/pkg/process/control/control.go
@@ -81,7 +81,7 @@
 		return nil, err
 	}
 	s := &Server{cfg: cfg, log: o.Log, scope: o.Scope, disk: d, page: o.Page, ledger: ledger.New(),
-		changed: make(chan struct{}), orders: &http.Client{}, timing: o.Timing,
+		changed: make(chan struct{}), timing: o.Timing,
 		fleet: fleet.New(cfg.Headroom, fleetPatience, fleetShort)}
 	persisted, err := decodeSaved(saved)
 	if err != nil {
@@ -100,6 +100,7 @@
 		d.Close()
 		return nil, err
 	}
+	s.orders = s.newOrderClient()
 	return s, nil
 }
 
--- a/pkg/process/control/duty.go
+++ b/pkg/process/control/duty.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -121,6 +122,39 @@
 	return answer, nil
 }
 
+// guardedConn checks the lease before every write, so that an order whose
+// process was frozen on its way to the socket does not leave it later.
+type guardedConn struct {
+	net.Conn
+	holds func() (term uint64, left time.Duration, ok bool)
+	term  uint64
+}
+
+// Write writes p while the lease of the order's term is held.
+func (c *guardedConn) Write(p []byte) (int, error) {
+	if term, left, ok := c.holds(); !ok || term != c.term {
+		return 0, &NoLeaseError{Left: left}
+	}
+	return c.Conn.Write(p)
+}
+
+// newOrderClient returns a client whose connections are guarded.
+func (s *Server) newOrderClient() *http.Client {
+	d := &net.Dialer{}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		term, left, ok := s.node.Holds()
+		if !ok {
+			return nil, &NoLeaseError{Left: left}
+		}
+		c, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &guardedConn{Conn: c, holds: s.node.Holds, term: term}, nil
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial}}
+}
+
 // orderServers turns demand into orders by availability zone and sends the
 // ones that the platform has not confirmed lately.
 func (s *Server) orderServers(ctx context.Context) {
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -205,7 +205,7 @@
 func (s *Server) newServer(h fasthttp.RequestHandler) *fasthttp.Server {
 	l := s.cfg.Limits
 	return &fasthttp.Server{
-		Handler:               h,
+		Handler:               s.closing(h),
 		Name:                  "plantainbank",
 		MaxRequestBodySize:    l.Body,
 		ReadBufferSize:        l.Header,
@@ -215,6 +215,24 @@
 		CloseOnShutdown:       true,
 		NoDefaultContentType:  true,
 		NoDefaultServerHeader: true,
-		Logger:                s.log,
+		Logger:                &connectionErrors{s.scope.Counter("connection_errors")},
 	}
 }
+
+// closing ends kept-alive connections with their next answer once the host is
+// leaving, so that few callers meet a connection that closes under them.
+func (s *Server) closing(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		h(ctx)
+		if s.leaving.Load() {
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
+// connectionErrors counts what the HTTP library would log. Its messages quote
+// requests, so they could hold a key.
+type connectionErrors struct{ counter tally.Counter }
+
+// Printf counts one error and drops its text.
+func (c *connectionErrors) Printf(string, ...any) { c.counter.Inc(1) }
--- /dev/null
+++ b/pkg/request/attempt/attempt_test.go
@@ -0,0 +1,252 @@
+package attempt
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/plantainbank/plantainbank/pkg/connection/socket"
+)
+
+// script is a backend server that reads a request and then does as it is told.
+type script struct {
+	lis net.Listener
+	// ran counts requests whose body arrived whole.
+	ran   atomic.Int32
+	conns atomic.Int32
+}
+
+// serve runs answer for every request of every connection; answer returns
+// false to close the connection.
+func serve(t *testing.T, answer func(c net.Conn, n int) bool) *script {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{lis: lis}
+	t.Cleanup(func() { lis.Close() })
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.talk(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *script) talk(c net.Conn, answer func(c net.Conn, n int) bool) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		if !answer(c, int(s.ran.Add(1))) {
+			return
+		}
+	}
+}
+
+func post(body string) *fasthttp.Request {
+	req := &fasthttp.Request{}
+	req.Header.SetMethod("POST")
+	req.SetRequestURI("http://backend/x")
+	req.SetBodyString(body)
+	return req
+}
+
+func write(text string) func(net.Conn, int) bool {
+	return func(c net.Conn, _ int) bool {
+		io.WriteString(c, text)
+		return false
+	}
+}
+
+// TestCutPoints cuts the answer at every phase: what the caller is told agrees
+// with what the backend server has counted, and no cut answer passes as whole.
+func TestCutPoints(t *testing.T) {
+	event := "data: {\"request\":\"r\",\"index\":0,\"text\":\"a\"}\n\n"
+	for _, c := range []struct {
+		name   string
+		answer string
+		stream bool
+		ran    Ran
+	}{
+		{"after the body, before the answer", "", false, RanUnknown},
+		{"in the status line", "HTTP/1.1 20", false, RanUnknown},
+		{"in the headers", "HTTP/1.1 200 OK\r\nContent-Le", false, RanUnknown},
+		{"in a body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", false, RanYes},
+		{"in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc", false, RanYes},
+		{"between chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false, RanYes},
+		{"before the end of the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n", false, RanYes},
+		{"body that ends with the connection", "HTTP/1.1 200 OK\r\n\r\nabc", false, RanYes},
+		{"body over the limit", "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000), false, RanYes},
+		{"stream before the first event", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true, RanYes},
+		{"stream before the terminal event", chunkedAnswer(event), true, RanYes},
+		{"stream that ends cleanly without it", chunkedAnswer(event) + "0\r\n\r\n", true, RanYes},
+		{"stream of another request", chunkedAnswer(strings.Replace(event, `"r"`, `"other"`, 1)), true, RanYes},
+		{"stream with a gap", chunkedAnswer(strings.Replace(event, `"index":0`, `"index":1`, 1)), true, RanYes},
+		{"refused for load", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", true, RanNo},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := serve(t, write(c.answer))
+			err := exchange(s, c.stream)
+			var e *Error
+			if !errors.As(err, &e) || e.Ran != c.ran {
+				t.Fatalf("error %v, want ran %q", err, c.ran)
+			}
+			if s.ran.Load() != 1 {
+				t.Fatalf("the backend server ran it %d times", s.ran.Load())
+			}
+		})
+	}
+}
+
+func chunkedAnswer(event string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(event), event)
+}
+
+func exchange(s *script, stream bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	client := NewClient()
+	if !stream {
+		_, err := client.Do(ctx, s.lis.Addr().String(), post("x"), Options{Fresh: true, BodyMost: 1000})
+		return err
+	}
+	_, err := client.Generate(ctx, s.lis.Addr().String(), Generation{Request: "r", Tokens: 5}, nil, func(Event) error { return nil })
+	return err
+}
+
+func TestConnectFailureIsNotRun(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lis.Close()
+	_, err = NewClient().Do(context.Background(), lis.Addr().String(), post("x"), Options{})
+	var e *Error
+	if !errors.As(err, &e) || e.Ran != RanNo || e.Phase != "connect" {
+		t.Fatalf("error is %v", err)
+	}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n%02d"
+
+// TestStaleConnectionIsNeverUsed closes a kept-alive connection behind the
+// client's back; the next request goes over a live one and runs once.
+func TestStaleConnectionIsNeverUsed(t *testing.T) {
+	var first net.Conn
+	var mu sync.Mutex
+	s := serve(t, func(c net.Conn, n int) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if n == 1 {
+			first = c
+		}
+		fmt.Fprintf(c, okAnswer, n)
+		return true
+	})
+	client := NewClient()
+	do(t, client, s, "01")
+	mu.Lock()
+	first.Close()
+	mu.Unlock()
+	waitClosed(t, client, s)
+	do(t, client, s, "02")
+	if s.ran.Load() != 2 || s.conns.Load() != 2 {
+		t.Fatalf("%d requests over %d connections", s.ran.Load(), s.conns.Load())
+	}
+}
+
+// waitClosed waits until the idle connection has seen the other side's close.
+func waitClosed(t *testing.T, c *Client, s *script) {
+	t.Helper()
+	c.mu.Lock()
+	idle := c.idle[s.lis.Addr().String()]
+	c.mu.Unlock()
+	if len(idle) != 1 {
+		t.Fatalf("%d idle connections", len(idle))
+	}
+	for range 500 {
+		if socket.Peek(idle[0].Conn) == socket.Closed {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the close did not arrive")
+}
+
+func do(t *testing.T, client *Client, s *script, want string) {
+	t.Helper()
+	a, err := client.Do(context.Background(), s.lis.Addr().String(), post("x"), Options{BodyMost: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := string(a.Response.Body()); got != want {
+		t.Fatalf("answer %q, want %q", got, want)
+	}
+}
+
+// TestLateAnswerIsNeverMixedUp times a request out, lets its answer arrive and
+// sends the next one: each gets its own answer.
+func TestLateAnswerIsNeverMixedUp(t *testing.T) {
+	release := make(chan struct{})
+	s := serve(t, func(c net.Conn, n int) bool {
+		if n == 1 {
+			<-release
+		}
+		fmt.Fprintf(c, okAnswer, n)
+		return true
+	})
+	client := NewClient()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := client.Do(ctx, s.lis.Addr().String(), post("x"), Options{BodyMost: 100})
+	var e *Error
+	if !errors.As(err, &e) || e.Ran != RanUnknown {
+		t.Fatalf("error is %v", err)
+	}
+	close(release)
+	do(t, client, s, "02")
+	do(t, client, s, "03")
+}
+
+// TestExtraBytesCloseTheConnection sends two answers to one request.
+func TestExtraBytesCloseTheConnection(t *testing.T) {
+	s := serve(t, func(c net.Conn, n int) bool {
+		fmt.Fprintf(c, okAnswer+okAnswer, n, 99)
+		return true
+	})
+	client := NewClient()
+	do(t, client, s, "01")
+	do(t, client, s, "02")
+}
+
+// TestSilentServerTimesOut bounds the time without any byte.
+func TestSilentServerTimesOut(t *testing.T) {
+	s := serve(t, func(net.Conn, int) bool { select {} })
+	_, err := NewClient().Do(context.Background(), s.lis.Addr().String(), post("x"), Options{Quiet: 30 * time.Millisecond})
+	var e *Error
+	if !errors.As(err, &e) || e.Ran != RanUnknown {
+		t.Fatalf("error is %v", err)
+	}
+}
