--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -225,6 +225,13 @@
 	return ok
 }
 
+// Load puts a weight version in force at once.
+func (e *Engine) Load(rollout string, version uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.versions[rollout] = version
+}
+
 // load swaps the weights of a rollout, also under running streams.
 func (e *Engine) load(o engineOrder) {
 	time.Sleep(e.cfg.Swap)
