Add the measurement program

Cause: no figure stood behind the decisions. Change: slopes of the control hosts with hosts that only renew, and load scenarios over real processes against two baselines.

--- /dev/null
+++ b/_scripts/measure/main.go
@@ -0,0 +1,52 @@
+// Command measure measures real processes and prints Markdown tables. Its
+// argument names the part: capacity, scenarios or all.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/plantainbank/plantainbank/internal/measure"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	part := "all"
+	if len(os.Args) > 1 {
+		part = os.Args[1]
+	}
+	dir, err := os.MkdirTemp("", "plantainbank-measure-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	bin, err := filepath.Abs(".bin")
+	if err != nil {
+		return err
+	}
+	if part == "capacity" || part == "all" {
+		c := &measure.Capacity{Bin: filepath.Join(bin, "plantainbank"), Standin: filepath.Join(bin, "standin"),
+			Fixture: filepath.Join("_fixtures", "rahbar"), Dir: dir, Period: 6 * time.Second, Out: os.Stdout}
+		if err := c.Run(); err != nil {
+			return err
+		}
+	}
+	if part == "scenarios" || part == "all" {
+		s := &measure.ScenarioRun{Bin: filepath.Join(bin, "plantainbank"), Standin: filepath.Join(bin, "standin"),
+			Fixture: filepath.Join("_fixtures", "rahbar"), Dir: dir, Rounds: 3, Out: os.Stdout}
+		if len(os.Args) > 2 {
+			s.Only = os.Args[2]
+			s.Rounds = 1
+		}
+		return s.Run()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/measure/capacity.go
@@ -0,0 +1,221 @@
+package measure
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/plantainbank/plantainbank/internal/deployment"
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
+)
+
+// Point is one measured point of a slope.
+type Point struct {
+	Hosts, Servers, Records int
+	// LeaderCore and FollowerCore are parts of one core.
+	LeaderCore, FollowerCore float64
+	LeaderMB, FollowerMB     float64
+	// Renewals and HostBytes are per second; HostBytes is for one host.
+	Renewals, HostBytes float64
+	// InForce is the time until a change reached every host, in milliseconds.
+	InForce float64
+}
+
+// Capacity measures the slopes of the control hosts.
+type Capacity struct {
+	Bin, Standin, Fixture, Dir string
+	// Period of one measurement.
+	Period time.Duration
+	Out    io.Writer
+	number int
+}
+
+// settle is the time after which the first reign has published its table.
+const settle = 4 * time.Second
+
+// group starts three control processes.
+func (c *Capacity) group() (*deployment.Deployment, error) {
+	c.number++
+	dir := filepath.Join(c.Dir, strconv.Itoa(c.number))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	d, err := deployment.New(dir, c.Bin, c.Standin, c.Fixture, fmt.Sprintf("127.77.%d", c.number))
+	if err != nil {
+		return nil, err
+	}
+	d.Pools, d.Entries = nil, 1
+	d.EditControl = func(s *settings.Control) { s.Platform = settings.Platform{} }
+	if err := d.StartAll(); err != nil {
+		return nil, err
+	}
+	return d, d.AwaitReady()
+}
+
+// Measure measures one point.
+func (c *Capacity) Measure(hosts, servers, records int) (Point, error) {
+	p := Point{Hosts: hosts, Servers: servers, Records: records}
+	d, err := c.group()
+	if err != nil {
+		return p, err
+	}
+	defer d.StopAll()
+	if err := putWorkspaces(d, records); err != nil {
+		return p, err
+	}
+	control := []string{d.ControlAddr(0), d.ControlAddr(1), d.ControlAddr(2)}
+	f := startHosts(control, hosts, servers)
+	defer f.stop()
+	time.Sleep(settle)
+	leader, err := leaderOf(d)
+	if err != nil {
+		return p, err
+	}
+	renewals, bytes := f.renewals.Load(), f.bytes.Load()
+	start := time.Now()
+	follower := make(chan Use, 1)
+	go func() {
+		u, _ := useOf(d.Process("control-"+strconv.Itoa((leader+1)%3)).PID(), c.Period)
+		follower <- u
+	}()
+	u, err := useOf(d.Process("control-"+strconv.Itoa(leader)).PID(), c.Period)
+	if err != nil {
+		return p, err
+	}
+	seconds := time.Since(start).Seconds()
+	p.Renewals = float64(f.renewals.Load()-renewals) / seconds
+	p.HostBytes = float64(f.bytes.Load()-bytes) / seconds / float64(hosts)
+	p.LeaderCore, p.LeaderMB = u.Core, float64(u.Bytes)/1e6
+	u = <-follower
+	p.FollowerCore, p.FollowerMB = u.Core, float64(u.Bytes)/1e6
+	p.InForce, err = c.inForce(d, f, hosts)
+	return p, err
+}
+
+// inForce measures a change until every host has it.
+func (c *Capacity) inForce(d *deployment.Deployment, f *fakeHosts, hosts int) (float64, error) {
+	start := time.Now()
+	revision, err := putWorkspace(d, "last", 1)
+	if err != nil {
+		return 0, err
+	}
+	var took time.Duration
+	err = deployment.Await("the change on every host", func() (ok bool) {
+		took, ok = f.reached(start, revision, hosts)
+		return ok
+	})
+	return float64(took.Milliseconds()), err
+}
+
+func leaderOf(d *deployment.Deployment) (int, error) {
+	out, err := d.CLI("status")
+	if err != nil {
+		return 0, err
+	}
+	for i := range d.Control {
+		if strings.Fields(out)[1] == d.ControlAddr(i) {
+			return i, nil
+		}
+	}
+	return 0, fmt.Errorf("no leader in %q", out)
+}
+
+func putWorkspaces(d *deployment.Deployment, n int) error {
+	for i := range n {
+		if _, err := putWorkspace(d, fmt.Sprintf("w%d", i), 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// putWorkspace submits a workspace and returns its revision.
+func putWorkspace(d *deployment.Deployment, name string, weight float64) (uint64, error) {
+	body := fmt.Sprintf(`{"request":"measure-%s","kind":"workspace","name":%q,"schema":2,"replaces":0,"spec":{"weight":%g}}`, name, name, weight)
+	data, err := operate(d, http.MethodPost, "/operator/records", body)
+	if err != nil {
+		return 0, err
+	}
+	var a struct{ Revision uint64 }
+	err = json.Unmarshal(data, &a)
+	return a.Revision, err
+}
+
+// operate calls the operators' interface of entry process 0.
+func operate(d *deployment.Deployment, method, path, body string) ([]byte, error) {
+	req, err := http.NewRequest(method, "http://"+d.OperatorAddr(0)+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+deployment.OperatorToken)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err == nil && res.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s %s: %d %s", method, path, res.StatusCode, data)
+	}
+	return data, err
+}
+
+// Points of the slopes: hosts, servers, records.
+var points = [][3]int{
+	{8, 13, 20}, {64, 13, 20}, {195, 13, 20}, {390, 13, 20},
+	{8, 200, 20}, {8, 800, 20}, {8, 2400, 20},
+	{64, 200, 20}, {64, 400, 20},
+	{8, 13, 1000}, {8, 13, 4000},
+}
+
+// Run measures all points and prints them with their fits.
+func (c *Capacity) Run() error {
+	fmt.Fprintln(c.Out, "| hosts | servers | records | leader core % | follower core % | leader MB | follower MB | renewals/s | bytes/s a host | in force ms |")
+	fmt.Fprintln(c.Out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	var all []Point
+	for _, x := range points {
+		p, err := c.Measure(x[0], x[1], x[2])
+		if err != nil {
+			return fmt.Errorf("%d hosts, %d servers, %d records: %w", x[0], x[1], x[2], err)
+		}
+		all = append(all, p)
+		fmt.Fprintf(c.Out, "| %d | %d | %d | %.2f | %.2f | %.1f | %.1f | %.0f | %.0f | %.0f |\n", p.Hosts, p.Servers, p.Records,
+			100*p.LeaderCore, 100*p.FollowerCore, p.LeaderMB, p.FollowerMB, p.Renewals, p.HostBytes, p.InForce)
+	}
+	c.fits(all)
+	return nil
+}
+
+func (c *Capacity) fits(all []Point) {
+	show := func(what string, from, to int, x func(Point) float64, y func(Point) float64) {
+		var xs, ys []float64
+		for _, p := range all[from:to] {
+			xs, ys = append(xs, x(p)), append(ys, y(p))
+		}
+		f := fit(xs, ys)
+		fmt.Fprintf(c.Out, "- %s: %.4g + %.4g x\n", what, f.Base, f.Slope)
+	}
+	hosts := func(p Point) float64 { return float64(p.Hosts) }
+	servers := func(p Point) float64 { return float64(p.Servers) }
+	records := func(p Point) float64 { return float64(p.Records) }
+	core := func(p Point) float64 { return 100 * p.LeaderCore }
+	mb := func(p Point) float64 { return p.LeaderMB }
+	fmt.Fprintln(c.Out)
+	show("leader core % by hosts (13 servers)", 0, 4, hosts, core)
+	show("leader MB by hosts", 0, 4, hosts, mb)
+	show("bytes/s a host by hosts", 0, 4, hosts, func(p Point) float64 { return p.HostBytes })
+	show("in force ms by hosts", 0, 4, hosts, func(p Point) float64 { return p.InForce })
+	show("leader core % by servers (8 hosts)", 4, 7, servers, core)
+	show("leader MB by servers (8 hosts)", 4, 7, servers, mb)
+	show("bytes/s a host by servers (8 hosts)", 4, 7, servers, func(p Point) float64 { return p.HostBytes })
+	show("leader core % by servers (64 hosts)", 7, 9, servers, core)
+	show("leader MB by records (8 hosts)", 9, 11, records, mb)
+	show("follower MB by records (8 hosts)", 9, 11, records, func(p Point) float64 { return p.FollowerMB })
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -100,6 +100,7 @@
 	}
 	s.lis, s.Addr = lis, lis.Addr().String()
 	mux.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { s.Leave() })
+	mux.HandleFunc("POST /reset", func(http.ResponseWriter, *http.Request) { s.reset() })
 	s.http = &http.Server{Handler: mux}
 	go s.http.Serve(lis)
 	if len(s.Entries) > 0 {
@@ -210,6 +211,13 @@
 	return out
 }
 
+// reset sets the counters to zero.
+func (s *server) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats = Stats{}
+}
+
 // hasKey reports whether a request holds something like a key.
 func hasKey(r *http.Request, body []byte) bool {
 	if bytes.Contains(body, []byte(KeyMark)) || strings.Contains(r.RequestURI, KeyMark) {
--- a/pkg/process/control/control.go
+++ b/pkg/process/control/control.go
@@ -45,6 +45,8 @@
 	page    http.Handler
 	// hello is true if the data folder was empty at the start.
 	hello bool
+	// cache is the decoded form of the records, or nil.
+	cache *decoded
 	// typical is the moving average of the time to produce a sample.
 	typical time.Duration
 	fleet   *fleet.Planner
@@ -215,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	s.ledger = l
+	s.ledger, s.cache = l, nil
 	return nil
 }
 
--- a/pkg/process/control/duty.go
+++ b/pkg/process/control/duty.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -19,7 +20,7 @@
 
 // Periods and margins of the duties.
 const (
-	dutyPeriod = 100 * time.Millisecond
+	dutyPeriod = 250 * time.Millisecond
 	// sendMargin is kept between the deadline of an order and the lease's end.
 	sendMargin = 100 * time.Millisecond
 	// orderPeriod repeats orders so that a platform that lost one hears it.
@@ -394,13 +395,11 @@
 // nextWave picks the servers to swap next.
 func (s *Server) nextWave(now time.Time) []weightOrder {
 	var out []weightOrder
-	for _, r := range s.ledger.List(record.KindRollout) {
-		spec, err := record.Decode[record.Rollout](r)
-		version := s.ledger.Versions[r.Name]
-		if err != nil || version == 0 {
-			continue
+	rollouts := s.decoded().rollouts
+	for _, name := range slices.Sorted(maps.Keys(rollouts)) {
+		if version := s.ledger.Versions[name]; version > 0 {
+			out = append(out, s.waveOf(name, rollouts[name].Pool, version, now)...)
 		}
-		out = append(out, s.waveOf(r.Name, spec.Pool, version, now)...)
 	}
 	return out
 }
--- a/pkg/process/control/reign.go
+++ b/pkg/process/control/reign.go
@@ -11,7 +11,6 @@
 	"github.com/plantainbank/plantainbank/pkg/process/ledger"
 	"github.com/plantainbank/plantainbank/pkg/process/ramp"
 	"github.com/plantainbank/plantainbank/pkg/process/share"
-	"github.com/plantainbank/plantainbank/pkg/version/record"
 	pb "github.com/plantainbank/plantainbank/service/control"
 )
 
@@ -279,29 +278,6 @@
 	return 1
 }
 
-// workspaceWeights returns the weight of every workspace.
-func (s *Server) workspaceWeights() map[string]float64 {
-	out := map[string]float64{}
-	for _, r := range s.ledger.Records {
-		if r.Kind == record.KindWorkspace {
-			if spec, err := record.Decode[record.Workspace](r); err == nil {
-				out[r.Name] = spec.Weight
-			}
-		}
-	}
-	return out
-}
-
-// zoneOut reports whether an availability zone is out.
-func (s *Server) zoneOut(name string) bool {
-	r, ok := s.ledger.Records[ledger.Key(record.KindZone, name)]
-	if !ok {
-		return false
-	}
-	spec, err := record.Decode[record.Zone](r)
-	return err == nil && spec.State == "out"
-}
-
 // maintainReign runs the periodic work of a leader on the control goroutine.
 func (s *Server) maintainReign() {
 	r := s.reign
@@ -313,7 +289,7 @@
 	if r.expire(now) || r.table != before {
 		s.notify()
 	}
-	r.retarget(s.workspaceWeights(), now)
+	r.retarget(s.decoded().weights, now)
 	s.scope.Gauge("entry_hosts").Update(float64(r.leases.Len()))
 	s.scope.Gauge("backend_servers").Update(float64(len(r.backends)))
 }
--- a/pkg/process/metrics/metrics.go
+++ b/pkg/process/metrics/metrics.go
@@ -11,7 +11,7 @@
 )
 
 // reportPeriod is the period at which counters reach the page.
-const reportPeriod = time.Second
+const reportPeriod = 2 * time.Second
 
 // Metrics is the root scope of a process and the page that shows it.
 type Metrics struct {
--- a/pkg/process/quorum/core.go
+++ b/pkg/process/quorum/core.go
@@ -34,7 +34,7 @@
 
 // DefaultTiming suits hosts that are a few milliseconds apart.
 func DefaultTiming() Timing {
-	return Timing{Heartbeat: 100 * time.Millisecond, Election: 900 * time.Millisecond, Lease: 700 * time.Millisecond}
+	return Timing{Heartbeat: 200 * time.Millisecond, Election: 900 * time.Millisecond, Lease: 700 * time.Millisecond}
 }
 
 // Limits on one message and on the rounds that a leader remembers.
--- a/pkg/process/quorum/node.go
+++ b/pkg/process/quorum/node.go
@@ -74,7 +74,7 @@
 	inboxSize  = 4096
 	callsSize  = 1024
 	batchMost  = 512
-	tickPeriod = 25 * time.Millisecond
+	tickPeriod = 50 * time.Millisecond
 )
 
 // NewNode returns a node; Run starts it.
