Smooth the demand that shares follow; keep shares over a lost leader

Cause: under a flood the engines ran at 342 of about 386 requests/s, since shares followed every renewal's demand and a slot that moved was idle until the other host renewed; and a new leader that had not heard of the servers yet took every share away for 3 s. Ruled out: the queues (each host had a backlog) and the engines (406/s at 2x). Change: moving average of the demand, wait prediction by max-min fairness, shares kept until the reign is settled, a refusal lowers the share at once instead of ejecting. TestSharesOutliveTheLeader shows the second cause.

--- a/_scripts/measure/main.go
+++ b/_scripts/measure/main.go
@@ -45,6 +45,10 @@
 		if len(os.Args) > 2 {
 			s.Only = os.Args[2]
 			s.Rounds = 1
+			s.Detail = true
+		}
+		if len(os.Args) > 3 {
+			s.Policy = os.Args[3]
 		}
 		return s.Run()
 	}
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -132,7 +132,11 @@
 	Rounds                     int
 	Out                        io.Writer
 	// Only limits the run to scenarios whose name contains it.
-	Only   string
+	Only string
+	// Policy limits the run to policies whose name contains it.
+	Policy string
+	// Detail prints each workspace and each second.
+	Detail bool
 	number int
 }
 
@@ -147,7 +151,7 @@
 		}
 		all := map[string][]Result{}
 		for round := range s.Rounds {
-			for _, p := range Policies() {
+			for _, p := range s.policies() {
 				r, err := s.once(x, p, uint64(round+1))
 				if err != nil {
 					return fmt.Errorf("%s, %s: %w", x.Name, p.Name, err)
@@ -155,13 +159,17 @@
 				all[p.Name] = append(all[p.Name], r)
 			}
 		}
-		for _, p := range Policies() {
+		for _, p := range s.policies() {
 			s.print(all[p.Name])
 		}
 	}
 	return nil
 }
 
+func (s *ScenarioRun) policies() []Policy {
+	return slices.DeleteFunc(Policies(), func(p Policy) bool { return !strings.Contains(p.Name, s.Policy) })
+}
+
 func (s *ScenarioRun) print(all []Result) {
 	show := func(format string, f func(Result) float64) string {
 		var xs []float64
@@ -287,6 +295,13 @@
 		Refused: all.Refused, Failed: all.Failed, Over: stats.Over, Worst: worst(l),
 		P50: float64(all.Latency.ValueAtQuantile(50)) / 1000, P99: float64(all.Latency.ValueAtQuantile(99)) / 1000,
 		Attempts: float64(stats.Started) / float64(max(1, all.Good)), Least: all.Good}
+	if s.Detail {
+		for _, t := range l.tenants {
+			x := l.tallies[t.Name]
+			fmt.Fprintf(s.Out, "%s: offered %d good %d late %d refused %d failed %d\n", t.Name, x.Offered, x.Good, x.Late, x.Refused, x.Failed)
+		}
+		fmt.Fprintln(s.Out, "good by second:", l.seconds)
+	}
 	for i := range int(measured.Seconds()) {
 		r.Least = min(r.Least, l.seconds[i])
 	}
--- a/pkg/connection/backendserver/table.go
+++ b/pkg/connection/backendserver/table.go
@@ -394,8 +394,10 @@
 		}
 		s.latency += (held.Seconds() - s.latency) / latencyWindow
 	case Refused:
+		// The server bears no more than what runs there now. The leader, which
+		// hears of the refusal, decides on the next share.
 		s.counts.Refused++
-		t.fail(s)
+		s.share = min(s.share, s.running)
 	case Failed:
 		s.counts.Failed++
 		t.fail(s)
--- a/pkg/process/control/duty.go
+++ b/pkg/process/control/duty.go
@@ -249,8 +249,8 @@
 		if !s.reign.leases.Live(name, now) {
 			continue
 		}
-		for _, d := range h.demand {
-			amounts[d.Pool] += float64(d.Amount)
+		for k, amount := range h.demand {
+			amounts[k.pool] += amount
 		}
 	}
 	bears := map[string]int{}
--- a/pkg/process/control/reign.go
+++ b/pkg/process/control/reign.go
@@ -55,12 +55,48 @@
 	// seq is the number of the latest renewal; older ones are ignored.
 	seq      uint64
 	revision uint64
-	demand   []*pb.Demand
+	// demand is the moving average by pool and workspace.
+	demand   map[poolWorkspace]float64
 	usage    map[string]ledger.Counters
 	outcomes map[string]ramp.Counts
 	leaving  bool
 }
 
+// poolWorkspace names a workspace's demand in a pool.
+type poolWorkspace struct{ pool, workspace string }
+
+// demandWindow is the weight of history in the moving average of the demand.
+// Without it, shares would follow every request, and a slot that moves between
+// two hosts is idle until the second one renews.
+const demandWindow = 6
+
+// smooth takes in a host's demand.
+func (h *host) smooth(now []*pb.Demand) {
+	current := map[poolWorkspace]float64{}
+	for _, d := range now {
+		current[poolWorkspace{d.Pool, d.Workspace}] = float64(d.Amount)
+	}
+	if h.demand == nil {
+		h.demand = current
+		return
+	}
+	for k := range h.demand {
+		if h.demand[k] < demandLeast && current[k] == 0 {
+			delete(h.demand, k)
+			continue
+		}
+		h.demand[k] += (current[k] - h.demand[k]) / demandWindow
+	}
+	for k, amount := range current {
+		if _, ok := h.demand[k]; !ok {
+			h.demand[k] = amount
+		}
+	}
+}
+
+// demandLeast is the average below which a demand counts as none.
+const demandLeast = 0.05
+
 // backend is a backend server that announces itself.
 type backend struct {
 	announced *pb.Announcement
@@ -246,10 +282,10 @@
 		}
 		live++
 		byHost[name] = map[string]float64{}
-		for _, d := range h.demand {
-			if d.Pool == pool {
-				demand[d.Workspace] += float64(d.Amount)
-				byHost[name][d.Workspace] = float64(d.Amount)
+		for k, amount := range h.demand {
+			if k.pool == pool {
+				demand[k.workspace] += amount
+				byHost[name][k.workspace] = amount
 			}
 		}
 	}
--- a/pkg/process/control/reign_test.go
+++ b/pkg/process/control/reign_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/plantainbank/plantainbank/pkg/process/ledger"
 	pb "github.com/plantainbank/plantainbank/service/control"
 )
 
@@ -76,10 +77,10 @@
 		r.announce(word(id, 1, 1), began)
 		r.backends[id].ramp.Limit = 8
 	}
-	demand := func(workspace string, n uint32) []*pb.Demand {
-		return []*pb.Demand{{Workspace: workspace, Pool: "p", Amount: n}}
+	demand := func(workspace string, n float64) map[poolWorkspace]float64 {
+		return map[poolWorkspace]float64{{"p", workspace}: n}
 	}
-	for name, d := range map[string][]*pb.Demand{"flooded": demand("flood", 500), "calm": demand("calm", 8), "idle": nil} {
+	for name, d := range map[string]map[poolWorkspace]float64{"flooded": demand("flood", 500), "calm": demand("calm", 8), "idle": nil} {
 		r.hosts[name] = &host{name: name, demand: d}
 		r.leases.Grant(name, began)
 	}
@@ -100,6 +101,22 @@
 	}
 }
 
+// TestSharesOutliveTheLeader reports holdings to a new leader that has not heard
+// of any server yet: the host keeps them.
+func TestSharesOutliveTheLeader(t *testing.T) {
+	s := &Server{reign: newReign(2, time.Now(), 3*time.Second), ledger: ledger.New()}
+	s.reign.announce(word("restarted", 2, 1), time.Now())
+	q := &pb.RenewRequest{Host: "h", Holdings: []*pb.Holding{
+		{Backend: "unheard", Share: 3, Incarnation: 1, Limit: 8},
+		{Backend: "restarted", Share: 2, Incarnation: 1, Limit: 8},
+		{Backend: "broken", Share: 2, Incarnation: 1, Limit: 8, Suspect: true},
+	}}
+	got := s.grantShares(q, time.Now())
+	if len(got) != 1 || got[0].Backend != "unheard" || got[0].Share != 3 {
+		t.Fatalf("shares are %v", got)
+	}
+}
+
 func TestNewReignWaitsForOldLeases(t *testing.T) {
 	r := newReign(1, began, 3*time.Second)
 	if r.settled(began.Add(3 * time.Second)) {
--- a/pkg/process/control/renew.go
+++ b/pkg/process/control/renew.go
@@ -129,7 +129,8 @@
 	if q.Incarnation < h.incarnation || q.Seq <= h.seq {
 		return twirp.NewError(twirp.AlreadyExists, "a later report was taken in")
 	}
-	h.seq, h.zone, h.revision, h.demand, h.leaving = q.Seq, q.Zone, q.Revision, q.Demands, q.Leaving
+	h.seq, h.zone, h.revision, h.leaving = q.Seq, q.Zone, q.Revision, q.Leaving
+	h.smooth(q.Demands)
 	h.usage = countersOf(q.Usage)
 	s.takeUsage(h)
 	before := r.table
@@ -199,29 +200,43 @@
 	return g
 }
 
-// grantShares moves a host's shares towards their targets.
+// grantShares moves a host's shares towards their targets. Before the reign is
+// settled a host keeps what it reports: others may hold the rest.
 func (s *Server) grantShares(q *pb.RenewRequest, now time.Time) []*pb.Share {
-	r := s.reign
-	had := map[string]int{}
-	for _, h := range q.Holdings {
-		had[h.Backend] = int(h.Share)
+	if !s.reign.settled(now) {
+		return s.keepShares(q)
 	}
 	var out []*pb.Share
-	for id, b := range r.backends {
-		want := r.targets[id][q.Host]
-		switch {
-		case b.announced.Leaving || q.Leaving || s.zoneOut(b.announced.Zone) || b.suspected(q.Host):
+	for id, b := range s.reign.backends {
+		want := s.reign.targets[id][q.Host]
+		if s.closed(b, q) {
 			want = 0
-		case !r.settled(now):
-			want = had[id]
 		}
-		if n := r.shares.Grant(q.Host, id, want); n > 0 {
+		if n := s.reign.shares.Grant(q.Host, id, want); n > 0 {
 			out = append(out, &pb.Share{Backend: id, Share: uint32(n)})
 		}
 	}
 	return out
 }
 
+// closed reports whether a host must send no new work to a server.
+func (s *Server) closed(b *backend, q *pb.RenewRequest) bool {
+	return b.announced.Leaving || q.Leaving || s.zoneOut(b.announced.Zone) || b.suspected(q.Host)
+}
+
+func (s *Server) keepShares(q *pb.RenewRequest) []*pb.Share {
+	var out []*pb.Share
+	for _, h := range q.Holdings {
+		b := s.reign.backends[h.Backend]
+		stale := b != nil && b.announced.Incarnation != h.Incarnation
+		if h.Share == 0 || h.Suspect || stale || (b != nil && s.closed(b, q)) {
+			continue
+		}
+		out = append(out, &pb.Share{Backend: h.Backend, Share: h.Share})
+	}
+	return out
+}
+
 func wireRecord(r record.Record) *pb.Record {
 	return &pb.Record{Kind: r.Kind, Name: r.Name, Schema: uint32(r.Schema), Revision: r.Revision,
 		Spec: r.Spec, Withdrawn: r.Withdrawn}
--- a/pkg/request/dispatch/dispatch.go
+++ b/pkg/request/dispatch/dispatch.go
@@ -28,13 +28,14 @@
 
 // Config holds what a Dispatcher needs.
 type Config struct {
-	Policy  settings.Policy
-	Limits  settings.Limits
-	Table   *backendserver.Table
-	Client  *attempt.Client
-	Usage   *Usage
-	Scope   tally.Scope
-	Tracer  *trace.Tracer
+	Policy settings.Policy
+	Limits settings.Limits
+	Table  *backendserver.Table
+	Client *attempt.Client
+	Usage  *Usage
+	Scope  tally.Scope
+	Tracer *trace.Tracer
+	// Starved asks the leader for shares soon.
 	Starved func()
 }
 
@@ -148,8 +149,11 @@
 func (d *Dispatcher) release(j *Job, slot backendserver.Slot, o backendserver.Outcome) {
 	held := d.cfg.Table.Release(slot, o)
 	d.queue(slot.Pool).Release(j.Workspace, held)
-	if o == backendserver.Served {
+	switch o {
+	case backendserver.Served:
 		d.budget.earn()
+	case backendserver.Refused:
+		d.cfg.Starved()
 	}
 }
 
--- a/pkg/request/queue/queue.go
+++ b/pkg/request/queue/queue.go
@@ -9,6 +9,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/plantainbank/plantainbank/pkg/process/share"
 )
 
 // RefusedError reports a request that was not admitted. It was not run.
@@ -81,6 +83,7 @@
 
 // flow is what a queue knows of one workspace.
 type flow[S Slot] struct {
+	name    string
 	waiting []*waiter[S]
 	finish  float64
 	running int
@@ -153,7 +156,7 @@
 func (q *Queue[S]) flow(workspace string) *flow[S] {
 	f := q.flows[workspace]
 	if f == nil {
-		f = &flow[S]{}
+		f = &flow[S]{name: workspace}
 		q.flows[workspace] = f
 	}
 	return f
@@ -262,22 +265,25 @@
 }
 
 // predict estimates the wait of a new request of a flow: the flow's requests
-// ahead, served by its fair part of the slots.
+// ahead, served by its fair part of the slots and of what others leave.
 func (q *Queue[S]) predict(f *flow[S]) time.Duration {
 	slots := float64(q.capacity())
 	if slots == 0 || q.service == 0 || len(f.waiting) == 0 {
 		return 0
 	}
-	weights := 0.0
-	for _, x := range q.flows {
-		if len(x.waiting) > 0 || x.running > 0 {
-			weights += x.weight
+	var wants []share.Want
+	for name, x := range q.flows {
+		if n := len(x.waiting) + x.running; n > 0 {
+			wants = append(wants, share.Want{Party: name, Weight: x.weight, Amount: float64(n)})
 		}
 	}
-	part := max(slots*f.weight/weights, 0.1)
+	part := max(share.FairSplit(slots, wants)[f.name], leastPart)
 	return time.Duration(float64(len(f.waiting)) / part * float64(q.service))
 }
 
+// leastPart is the least part of a slot that a flow is expected to get.
+const leastPart = 0.1
+
 func (q *Queue[S]) retryAfter() time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
