Keep a claim until its sample is stored

Cause: the measured generations a sample were 1.62, with and without hedging; the leader forgot a claim before the log had stored the sample, so another host claimed the slot again. Ruled out: retries and refusals (their counters were zero on all entry hosts). Change: claims are dropped after the commit. TestStepProducesEachSampleOnce holds it.

--- a/internal/deployment/step_test.go
+++ b/internal/deployment/step_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
 )
 
 // TestKillDuringStep kills one process of each kind in the middle of a step;
@@ -80,3 +82,29 @@
 	must(t, err)
 	checkWhole(t, samples, tr.Groups*tr.Samples, 1)
 }
+
+// TestStepProducesEachSampleOnce runs a step without faults and without
+// hedging: no sample is generated twice.
+func TestStepProducesEachSampleOnce(t *testing.T) {
+	t.Parallel()
+	d := start(t, func(d *Deployment) {
+		d.EditControl = func(c *settings.Control) { c.Hedge = 0 }
+	})
+	tr := trainer(t, d)
+	ctx := bounded(t)
+	before := 0
+	for i := range 3 {
+		before += engine(t, d, i).Started
+	}
+	must(t, tr.Open(ctx, 1))
+	samples, err := tr.Collect(ctx, 1, 1)
+	must(t, err)
+	checkWhole(t, samples, tr.Groups*tr.Samples, 1)
+	after := 0
+	for i := range 3 {
+		after += engine(t, d, i).Started
+	}
+	if n := after - before; n != tr.Groups*tr.Samples {
+		t.Errorf("%d generations for %d samples", n, tr.Groups*tr.Samples)
+	}
+}
--- a/pkg/process/control/steps.go
+++ b/pkg/process/control/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -14,8 +15,6 @@
 // Limits of the work on steps.
 const (
 	mostDelivered = 256
-	// hedgeShare is the part of a step's slots that may be hedged.
-	hedgeShare = 0.1
 	// hedgeFactor is how many typical production times a slot must have been
 	// in work before a second host may produce it too.
 	hedgeFactor = 2
@@ -174,7 +173,7 @@
 
 // hedge hands the slowest slots of a step's end to a second host.
 func (s *Server) hedge(step *ledger.Step, host string, most int, now time.Time) []*pb.Claim {
-	budget := int(hedgeShare*float64(len(step.Slots))) + 1
+	budget := int(math.Ceil(s.cfg.Hedge * float64(len(step.Slots))))
 	open := len(step.Slots) - step.Filled()
 	if open > budget || s.typical == 0 {
 		return nil
@@ -222,6 +221,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.onLeader(ctx, func() error { s.dropClaims(q.Samples); return nil }); err != nil {
+		return nil, err
+	}
 	stored, _ := result.(int)
 	s.scope.Counter("samples").Inc(int64(stored))
 	return &pb.CommitAnswer{Stored: uint32(stored)}, nil
@@ -231,10 +233,8 @@
 // claimed again.
 func (s *Server) finishClaims(q *pb.CommitRequest, now time.Time) {
 	for _, x := range q.Samples {
-		k := claimKey{ledger.StepKey(x.Rollout, x.Number), int(x.Slot)}
-		if c := s.reign.claims[k]; c != nil {
+		if c := s.reign.claims[claimKey{ledger.StepKey(x.Rollout, x.Number), int(x.Slot)}]; c != nil {
 			s.typical += (now.Sub(c.start) - s.typical) / typicalWindow
-			delete(s.reign.claims, k)
 		}
 	}
 	for _, x := range q.Released {
@@ -248,6 +248,14 @@
 	}
 }
 
+// dropClaims forgets the claims of stored samples. Before they are stored, their
+// slots would look free and be produced a second time.
+func (s *Server) dropClaims(samples []*pb.Sample) {
+	for _, x := range samples {
+		delete(s.reign.claims, claimKey{ledger.StepKey(x.Rollout, x.Number), int(x.Slot)})
+	}
+}
+
 // typicalWindow is the weight of history in the moving average.
 const typicalWindow = 16
 
--- a/pkg/process/settings/settings.go
+++ b/pkg/process/settings/settings.go
@@ -95,6 +95,9 @@
 	Swap Duration `json:"swap,omitempty"`
 	// Wave is the largest part of a pool that swaps weights at once, 0 to 1.
 	Wave float64 `json:"wave,omitempty"`
+	// Hedge is the part of a step's slots that may be produced twice at the
+	// step's end; zero turns hedging off.
+	Hedge float64 `json:"hedge"`
 	// Headroom is the part of the demand that is ordered on top of it.
 	Headroom float64 `json:"headroom,omitempty"`
 	// Snapshot is the number of log entries between two snapshots.
@@ -178,7 +181,7 @@
 func DefaultControl() Control {
 	return Control{
 		Grant: Duration(3 * time.Second), Window: Duration(time.Minute), Claim: Duration(30 * time.Second),
-		Swap: Duration(10 * time.Second), Wave: 0.34, Headroom: 0.25, Snapshot: 2000, Logs: Logs{Level: "info"},
+		Swap: Duration(10 * time.Second), Wave: 0.34, Hedge: 0.1, Headroom: 0.25, Snapshot: 2000, Logs: Logs{Level: "info"},
 	}
 }
 
@@ -235,6 +238,7 @@
 		require("claim", between(c.Claim, time.Second, time.Hour), "must be 1s to 1h"),
 		require("swap", between(c.Swap, 100*time.Millisecond, time.Hour), "must be 100ms to 1h"),
 		require("wave", c.Wave > 0 && c.Wave <= 1, "must be above 0 and at most 1"),
+		require("hedge", c.Hedge >= 0 && c.Hedge <= 1, "must be 0 to 1"),
 		require("headroom", c.Headroom >= 0 && c.Headroom <= 10, "must be 0 to 10"),
 		require("snapshot", c.Snapshot > 0, "must be 1 or more"),
 		c.TLS.check("tls", true),
