--- /dev/null
+++ b/cmd/plantainbank/cmds/cmds_test.go
@@ -0,0 +1,95 @@
+package cmds
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"plantainbank": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs the command line as its users do.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: func(e *testscript.Env) error {
+		fixtures, err := filepath.Abs("../../../_fixtures")
+		e.Setenv("FIXTURES", fixtures)
+		return err
+	}})
+}
+
+// TestPagesAreCurrent compares docs/cli with the command table.
+func TestPagesAreCurrent(t *testing.T) {
+	for name, want := range Pages() {
+		got, err := os.ReadFile(filepath.Join("../../../docs/cli", name))
+		if err != nil || !bytes.Equal(got, []byte(want)) {
+			t.Errorf("docs/cli/%s is not current (run make docs): %v", name, err)
+		}
+	}
+}
+
+// TestMutualTLS makes certificates with the command and refuses strangers.
+func TestMutualTLS(t *testing.T) {
+	dir, other := t.TempDir(), t.TempDir()
+	e := &env{io.Discard, io.Discard}
+	for _, c := range []struct{ dir, name string }{{dir, "server"}, {dir, "client"}, {other, "stranger"}} {
+		if err := newCert(e, c.dir, c.name, []string{"127.0.0.1"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	files := func(dir, name string) settings.TLS {
+		return settings.TLS{Cert: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+".key"), CA: filepath.Join(dir, "ca.pem")}
+	}
+	cfg, err := files(dir, "server").Server()
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	srv.TLS = cfg
+	srv.Config.ErrorLog = nil
+	srv.StartTLS()
+	defer srv.Close()
+	stranger := files(other, "stranger")
+	stranger.CA = files(dir, "server").CA
+	for _, c := range []struct {
+		name string
+		tls  settings.TLS
+		ok   bool
+	}{{"own host", files(dir, "client"), true}, {"stranger", stranger, false}, {"other authority", files(other, "stranger"), false}} {
+		client, scheme, err := c.tls.Client()
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := client.Get(scheme + srv.Listener.Addr().String())
+		if (err == nil) != c.ok {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		if err == nil {
+			res.Body.Close()
+		}
+	}
+	plain, err := net.DialTimeout("tcp", srv.Listener.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer plain.Close()
+	io.WriteString(plain, "GET / HTTP/1.0\r\n\r\n")
+	answer, _ := io.ReadAll(plain)
+	if strings.Contains(string(answer), "200 OK") {
+		t.Error("served without TLS")
+	}
+}
--- /dev/null
+++ b/pkg/process/lease/lease_test.go
@@ -0,0 +1,57 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/plantainbank/plantainbank/pkg/process/lease"
+)
+
+// The holder counts from the time at which it asked, so it stops first.
+func Example() {
+	asked := time.Unix(100, 0)
+	arrived := asked.Add(50 * time.Millisecond)
+	table := lease.NewTable[string](3*time.Second, 0)
+	table.Grant("host", arrived)
+	var holder lease.Holder
+	holder.Extend(asked, table.Period)
+	end := asked.Add(3 * time.Second)
+	fmt.Println("holder:", holder.Valid(end), "granter:", table.Live("host", end))
+	// Output: holder: false granter: true
+}
+
+// TestHolderStopsBeforeTheGranter delays requests and answers at random points.
+func TestHolderStopsBeforeTheGranter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := lease.NewTable[string](3*time.Second, 200*time.Millisecond)
+		var holder lease.Holder
+		for delay := time.Duration(0); delay < 4*time.Second; delay += 170 * time.Millisecond {
+			sent := time.Now()
+			time.Sleep(delay / 3)
+			table.Grant("h", time.Now())
+			time.Sleep(delay)
+			holder.Extend(sent, table.Period)
+			for range 100 {
+				if now := time.Now(); holder.Valid(now) && !table.Live("h", now) {
+					t.Fatalf("after %s the holder acts and the granter believes that it has stopped", delay)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+		if gone := table.Expire(time.Now()); len(gone) != 1 || table.Len() != 0 {
+			t.Fatalf("expired %v, %d left", gone, table.Len())
+		}
+	})
+}
+
+func TestLateGrantNeverShortens(t *testing.T) {
+	var h lease.Holder
+	now := time.Unix(100, 0)
+	h.Extend(now, 3*time.Second)
+	h.Extend(now.Add(-time.Second), 3*time.Second)
+	if !h.Until.Equal(now.Add(3 * time.Second)) {
+		t.Fatalf("lease until %v", h.Until)
+	}
+}
--- /dev/null
+++ b/pkg/process/quorum/example_test.go
@@ -0,0 +1,38 @@
+package quorum_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+)
+
+// A group of one replica commits a command. A real embedder persists and sends
+// in the two functions that do nothing here.
+func Example() {
+	node, err := quorum.NewNode(quorum.Config{
+		ID:           1,
+		Timing:       quorum.DefaultTiming(),
+		Persist:      func(quorum.Ready) error { return nil },
+		Send:         func([]quorum.Message) {},
+		Apply:        func(_ uint64, data []byte) any { return "applied " + string(data) },
+		Save:         func() []byte { return nil },
+		Restore:      func([]byte) error { return nil },
+		SaveSnapshot: func(quorum.Snapshot) error { return nil },
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go node.Run(ctx)
+	node.Do(ctx, func() { err = node.Form(quorum.Members{{ID: 1, Addr: "here"}}) })
+	for err != nil || node.Status().Role != quorum.Leader {
+		time.Sleep(10 * time.Millisecond)
+	}
+	result, err := node.Propose(ctx, []byte("x"))
+	fmt.Println(result, err)
+	// Output: applied x <nil>
+}
