--- a/internal/deployment/access_test.go
+++ b/internal/deployment/access_test.go
@@ -81,6 +81,28 @@
 	checkNoKeyAnywhere(t, d, k)
 }
 
+// TestEntryKilledDuringWithdrawal kills an entry host and the leader while a key
+// is withdrawn: the restarted host never serves the key.
+func TestEntryKilledDuringWithdrawal(t *testing.T) {
+	t.Parallel()
+	d := start(t, nil)
+	k := key(t, d, "training")
+	ended := stream(t, d, 1, k)
+	d.Process("entry-2").Kill()
+	d.Process("control-" + strconv.Itoa(leader(t, d))).Kill()
+	mustCLI(t, d, "key", "withdraw", "training")
+	awaitEnd(t, "entry 1", ended)
+	restart(t, d, "entry-2")
+	for i := range d.Entries {
+		if code, body := call(d, i, k, "POST", "/reorder/x", "dead"); code != http.StatusUnauthorized && code != http.StatusServiceUnavailable {
+			t.Errorf("entry %d answered %d %s", i, code, body)
+		}
+	}
+	if n := ran(t, d)["dead"]; n != 0 {
+		t.Errorf("work of the withdrawn key ran %d times", n)
+	}
+}
+
 // malformed sends a request with a key that can not be parsed, and waits until
 // the connection is closed.
 func malformed(t *testing.T, d *Deployment, key string) {
--- a/internal/deployment/charge_test.go
+++ b/internal/deployment/charge_test.go
@@ -24,17 +24,8 @@
 // than an earlier one, or if a usage window came with different figures.
 func checkOneInCharge(t *testing.T, l standin.PlatformLog) {
 	t.Helper()
-	for _, all := range [][]standin.Received{l.Orders, l.Usage} {
-		highest := 0
-		for _, x := range all {
-			fence, err := strconv.Atoi(x.Fence)
-			must(t, err)
-			if x.Accepted && fence < highest {
-				t.Errorf("a message with fencing number %d was accepted after %d: %s", fence, highest, x.Body)
-			}
-			highest = max(highest, fence)
-		}
-	}
+	checkFences(t, "platform orders", l.Orders)
+	checkFences(t, "usage reports", l.Usage)
 	windows := map[string]string{}
 	end := int64(0)
 	for _, x := range l.Usage {
@@ -54,6 +45,21 @@
 	}
 }
 
+// checkFences fails if a message of an earlier term was accepted after one of a
+// later term.
+func checkFences(t *testing.T, what string, all []standin.Received) {
+	t.Helper()
+	highest := 0
+	for _, x := range all {
+		fence, err := strconv.Atoi(x.Fence)
+		must(t, err)
+		if x.Accepted && fence < highest {
+			t.Errorf("%s: fencing number %d was accepted after %d: %s", what, fence, highest, x.Body)
+		}
+		highest = max(highest, fence)
+	}
+}
+
 // TestFrozenLeaderGivesNoOrders freezes and thaws the leader again and again
 // while orders and reports flow. The platform ignores fencing numbers, so only
 // the lease keeps the old leader from sending.
@@ -64,7 +70,9 @@
 			t.Parallel()
 			d := start(t, func(d *Deployment) { d.Fences = fences })
 			postJSON(t, "http://"+d.PlatformAddr()+"/fault", `{"lost":3}`)
-			for range 3 {
+			tr := trainer(t, d)
+			for round := range uint64(3) {
+				must(t, tr.Publish(bounded(t), round+1))
 				old := leader(t, d)
 				p := d.Process("control-" + strconv.Itoa(old))
 				must(t, p.Signal(syscall.SIGSTOP))
@@ -79,6 +87,10 @@
 				await(t, "more reports", func() bool { return len(platformLog(t, d).Usage) > before+1 })
 			}
 			checkOneInCharge(t, platformLog(t, d))
+			for i := range 3 {
+				await(t, "the newest weights", func() bool { return engine(t, d, i).Versions["slip-reader"] == 3 })
+				checkFences(t, "orders to an engine", engine(t, d, i).Orders)
+			}
 		})
 	}
 }
--- a/internal/deployment/step_test.go
+++ b/internal/deployment/step_test.go
@@ -1,9 +1,13 @@
 package deployment
 
 import (
+	"net/http"
+	"reflect"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/plantainbank/plantainbank/pkg/connection/caller"
 	"github.com/plantainbank/plantainbank/pkg/process/settings"
 )
 
@@ -83,6 +87,36 @@
 	checkWhole(t, samples, tr.Groups*tr.Samples, 1)
 }
 
+// TestTrainerComesBack lets a trainer die between delivery and acknowledgement:
+// through another host the same positions hold the same samples, also after the
+// leader was killed; acknowledged positions are plainly refused.
+func TestTrainerComesBack(t *testing.T) {
+	t.Parallel()
+	d := start(t, nil)
+	tr := trainer(t, d)
+	ctx := bounded(t)
+	must(t, tr.Open(ctx, 1))
+	var first, again caller.Delivery
+	path := "/v1/steps/slip-reader/1"
+	await(t, "ten samples", func() bool {
+		return tr.Call(ctx, "GET", path+"/samples?from=1&most=10&wait=500", nil, &first) == nil && len(first.Samples) == 10
+	})
+	d.Process("control-" + strconv.Itoa(leader(t, d))).Kill()
+	back := *tr
+	back.Entries = d.CallerAddrs()[2:]
+	must(t, back.Call(ctx, "GET", path+"/samples?from=1&most=10&wait=2000", nil, &again))
+	if !reflect.DeepEqual(first.Samples, again.Samples) {
+		t.Fatalf("positions changed:\n%+v\n%+v", first.Samples, again.Samples)
+	}
+	must(t, back.Call(ctx, "POST", path+"/ack", map[string]int{"position": 10}, &struct{}{}))
+	if code, body := call(d, 1, tr.Key, "GET", path+"/samples?from=3", ""); code != http.StatusConflict {
+		t.Errorf("an acknowledged position was asked for: %d %s", code, body)
+	}
+	rest, err := back.Collect(ctx, 1, 11)
+	must(t, err)
+	checkWhole(t, append(first.Samples, rest...), tr.Groups*tr.Samples, 1)
+}
+
 // TestStepProducesEachSampleOnce runs a step without faults and without
 // hedging: no sample is generated twice.
 func TestStepProducesEachSampleOnce(t *testing.T) {
--- a/pkg/process/disk/disk_test.go
+++ b/pkg/process/disk/disk_test.go
@@ -138,6 +138,9 @@
 		damage func(t *testing.T, dir string)
 	}{
 		{"byte flipped before the tail", func(t *testing.T, dir string) { flip(t, filepath.Join(dir, "000000000001.log"), 60) }},
+		{"byte flipped in the last segment, before its tail", func(t *testing.T, dir string) {
+			flip(t, filepath.Join(dir, "000000000002.log"), headerBytes+4)
+		}},
 		{"snapshot flipped", func(t *testing.T, dir string) { flip(t, filepath.Join(dir, "snapshot"), 20) }},
 		{"identity gone", func(t *testing.T, dir string) { os.Remove(filepath.Join(dir, "identity")) }},
 		{"identity damaged", func(t *testing.T, dir string) {
--- /dev/null
+++ b/pkg/process/grant/keeper_test.go
@@ -0,0 +1,151 @@
+package grant
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/plantainbank/plantainbank/pkg/connection/backendserver"
+	"github.com/plantainbank/plantainbank/pkg/process/leader"
+	"github.com/plantainbank/plantainbank/pkg/version/view"
+	pb "github.com/plantainbank/plantainbank/service/control"
+)
+
+// fakeControl answers renewals from a function.
+type fakeControl struct {
+	pb.Control
+	mu     sync.Mutex
+	answer func(q *pb.RenewRequest) (*pb.Grant, error)
+}
+
+func (f *fakeControl) Renew(_ context.Context, q *pb.RenewRequest) (*pb.Grant, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answer(q)
+}
+
+func (f *fakeControl) set(answer func(q *pb.RenewRequest) (*pb.Grant, error)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answer = answer
+}
+
+func newKeeper(t *testing.T, f *fakeControl) (*Keeper, *backendserver.Table) {
+	t.Helper()
+	srv := httptest.NewServer(pb.NewControlServer(f))
+	t.Cleanup(srv.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	table := backendserver.New(backendserver.Policy{Choice: "wait"}, 1)
+	k := New(Config{Host: "h", Incarnation: 1, Wait: 50 * time.Millisecond, Table: table, Log: logrus.NewEntry(log),
+		Leader: leader.New([]string{srv.Listener.Addr().String()}, srv.Client(), "http://"),
+		Usage:  func() []*pb.Usage { return nil }, Demand: func() []*pb.Demand { return nil }, Changed: func(*view.View, bool) {}})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go k.Run(ctx)
+	return k, table
+}
+
+func grantOf(revision uint64, ms uint32) func(*pb.RenewRequest) (*pb.Grant, error) {
+	return func(q *pb.RenewRequest) (*pb.Grant, error) {
+		g := &pb.Grant{Term: 1, Revision: revision, Full: true, Durationms: ms}
+		for i := range revision {
+			g.Records = append(g.Records, &pb.Record{Kind: "workspace", Name: fmt.Sprint("w", i), Schema: 2, Revision: i + 1, Spec: []byte(`{"weight":1}`)})
+		}
+		return g, nil
+	}
+}
+
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 1000 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("waited for %s", what)
+}
+
+func held(k *Keeper, revision uint64) func() bool {
+	return func() bool {
+		v, ok := k.View()
+		return ok && v.Revision == revision
+	}
+}
+
+// TestNeverStepsBack meets a leader that answers with older revisions.
+func TestNeverStepsBack(t *testing.T) {
+	f := &fakeControl{answer: grantOf(5, 60_000)}
+	k, _ := newKeeper(t, f)
+	await(t, "revision 5", held(k, 5))
+	var asked sync.WaitGroup
+	asked.Add(3)
+	left := 3
+	f.set(func(q *pb.RenewRequest) (*pb.Grant, error) {
+		if left > 0 {
+			left--
+			asked.Done()
+		}
+		return grantOf(3, 60_000)(q)
+	})
+	asked.Wait()
+	if v, _ := k.View(); v.Revision != 5 || len(v.Workspaces) != 5 {
+		t.Fatalf("stepped back to revision %d", v.Revision)
+	}
+	f.set(grantOf(6, 60_000))
+	await(t, "revision 6", held(k, 6))
+}
+
+// TestLeaseEndsWithoutAnswers stops the answers: the lease and the shares end,
+// and come back with the next grant.
+func TestLeaseEndsWithoutAnswers(t *testing.T) {
+	answer := func(q *pb.RenewRequest) (*pb.Grant, error) {
+		g, _ := grantOf(1, 300)(q)
+		g.Table, g.Tablesent = 1, true
+		g.Backends = []*pb.Backend{{Announced: &pb.Announcement{Id: "s", Pool: "p"}, Limit: 4}}
+		g.Shares = []*pb.Share{{Backend: "s", Share: 2}}
+		return g, nil
+	}
+	f := &fakeControl{answer: answer}
+	k, table := newKeeper(t, f)
+	await(t, "a share", func() bool { return table.Capacity("p") == 2 })
+	f.set(func(*pb.RenewRequest) (*pb.Grant, error) { return nil, context.DeadlineExceeded })
+	await(t, "the end of the lease", func() bool { _, ok := k.View(); return !ok })
+	await(t, "the end of the shares", func() bool { return table.Capacity("p") == 0 })
+	f.set(answer)
+	await(t, "the lease again", held(k, 1))
+	await(t, "the share again", func() bool { return table.Capacity("p") == 2 })
+}
+
+// TestNewLeaderHearsOfEveryServer announces a server, then changes the leader.
+func TestNewLeaderHearsOfEveryServer(t *testing.T) {
+	var mu sync.Mutex
+	heard := map[uint64]int{}
+	term := uint64(1)
+	f := &fakeControl{}
+	f.set(func(q *pb.RenewRequest) (*pb.Grant, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		heard[term] += len(q.Announcements)
+		return &pb.Grant{Term: term, Durationms: 60_000}, nil
+	})
+	k, _ := newKeeper(t, f)
+	k.Announce(&pb.Announcement{Id: "s", Incarnation: 1, Seq: 1})
+	for _, next := range []uint64{1, 2} {
+		mu.Lock()
+		term = next
+		mu.Unlock()
+		await(t, fmt.Sprintf("the server in term %d", next), func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return heard[next] > 0
+		})
+	}
+}
--- a/pkg/request/attempt/attempt_test.go
+++ b/pkg/request/attempt/attempt_test.go
@@ -103,6 +103,7 @@
 		{"stream before the terminal event", chunkedAnswer(event), true, RanYes},
 		{"stream that ends cleanly without it", chunkedAnswer(event) + "0\r\n\r\n", true, RanYes},
 		{"stream of another request", chunkedAnswer(strings.Replace(event, `"r"`, `"other"`, 1)), true, RanYes},
+		{"whole stream of another request", wholeStream("other"), true, RanYes},
 		{"stream with a gap", chunkedAnswer(strings.Replace(event, `"index":0`, `"index":1`, 1)), true, RanYes},
 		{"refused for load", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", true, RanNo},
 	} {
@@ -124,6 +125,11 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(event), event)
 }
 
+func wholeStream(request string) string {
+	events := fmt.Sprintf("data: {\"request\":%q,\"index\":0,\"text\":\"a\"}\n\ndata: {\"request\":%q,\"done\":true}\n\n", request, request)
+	return chunkedAnswer(events) + "0\r\n\r\n"
+}
+
 func exchange(s *script, stream bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
