Split grown files by what they hold

Change: moves only; orders, servers, weights and usage out of duty.go; claims, demand and backends; choice and outcome of the table; load and frame of the disk; election, replication and lease of the core. Slopes for samples and tokens are added to the measurement.

--- a/internal/measure/hosts.go
+++ b/internal/measure/hosts.go
@@ -15,7 +15,6 @@
 
 // fakeHosts are entry hosts that only renew their leases, as real ones do.
 type fakeHosts struct {
-	client   *leader.Client
 	servers  []*pb.Announcement
 	renewals atomic.Int64
 	bytes    atomic.Int64
--- a/internal/measure/overhead.go
+++ b/internal/measure/overhead.go
@@ -62,7 +62,10 @@
 	if err := o.throughput(d); err != nil { // warms the servers up, too
 		return err
 	}
-	return o.latency(d)
+	if err := o.latency(d); err != nil {
+		return err
+	}
+	return o.Tokens()
 }
 
 func (o *Overhead) idle(d *deployment.Deployment) error {
--- /dev/null
+++ b/internal/measure/slopes.go
@@ -0,0 +1,183 @@
+package measure
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/plantainbank/plantainbank/internal/deployment"
+	"github.com/plantainbank/plantainbank/pkg/process/leader"
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
+	pb "github.com/plantainbank/plantainbank/service/control"
+)
+
+// sampleBytes is the size of a measured sample's text.
+const sampleBytes = 4096
+
+// Samples measures the control hosts by the rate of committed samples.
+func (c *Capacity) Samples() error {
+	fmt.Fprintln(c.Out, "\n| samples/s | leader core % | follower core % | leader MB | follower MB |")
+	fmt.Fprintln(c.Out, "| --- | --- | --- | --- | --- |")
+	var xs, leaders, followers []float64
+	for _, rate := range []int{0, 50, 200, 400} {
+		lead, follow, err := c.samplesAt(rate)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(c.Out, "| %d | %.2f | %.2f | %.1f | %.1f |\n", rate, 100*lead.Core, 100*follow.Core,
+			float64(lead.Bytes)/1e6, float64(follow.Bytes)/1e6)
+		xs = append(xs, float64(rate))
+		leaders, followers = append(leaders, 100*lead.Core), append(followers, 100*follow.Core)
+	}
+	l, f := fit(xs, leaders), fit(xs, followers)
+	fmt.Fprintf(c.Out, "\n- leader core %% by samples/s: %.4g + %.4g x\n- follower core %% by samples/s: %.4g + %.4g x\n", l.Base, l.Slope, f.Base, f.Slope)
+	return nil
+}
+
+func (c *Capacity) samplesAt(rate int) (lead, follow Use, err error) {
+	d, err := c.group()
+	if err != nil {
+		return lead, follow, err
+	}
+	defer d.StopAll()
+	if err := openBigStep(d); err != nil {
+		return lead, follow, err
+	}
+	client := leader.New([]string{d.ControlAddr(0), d.ControlAddr(1), d.ControlAddr(2)}, http.DefaultClient, "http://")
+	ctx, cancel := context.WithTimeout(context.Background(), c.Period+settle)
+	defer cancel()
+	var wg sync.WaitGroup
+	if rate > 0 {
+		wg.Go(func() { commitAt(ctx, client, rate) })
+	}
+	i, err := leaderOf(d)
+	if err != nil {
+		return lead, follow, err
+	}
+	wg.Go(func() { follow, _ = useOf(d.Process("control-"+strconv.Itoa((i+1)%3)).PID(), c.Period) })
+	lead, err = useOf(d.Process("control-"+strconv.Itoa(i)).PID(), c.Period)
+	cancel()
+	wg.Wait()
+	return lead, follow, err
+}
+
+// openBigStep opens a step with room for every commit of a measurement.
+func openBigStep(d *deployment.Deployment) error {
+	records, err := filepath.Abs(filepath.Join(d.Fixture, "records.json"))
+	if err != nil {
+		return err
+	}
+	if _, err := d.CLI("record", "put", records); err != nil {
+		return err
+	}
+	client := leader.New([]string{d.ControlAddr(0), d.ControlAddr(1), d.ControlAddr(2)}, http.DefaultClient, "http://")
+	ctx, cancel := context.WithTimeout(context.Background(), settle)
+	defer cancel()
+	prompts := make([]string, 64)
+	return client.Call(ctx, time.Second, func(ctx context.Context, s pb.Control) error {
+		_, err := s.Open(ctx, &pb.OpenRequest{Rollout: "slip-reader", Workspace: "training", Number: 1, Prompts: prompts, Samples: 128})
+		return err
+	})
+}
+
+func commitAt(ctx context.Context, client *leader.Client, rate int) {
+	tick := time.NewTicker(time.Second / time.Duration(rate))
+	defer tick.Stop()
+	text := strings.Repeat("x", sampleBytes)
+	for slot := uint32(0); ; slot++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		go client.Once(ctx, func(ctx context.Context, s pb.Control) error {
+			_, err := s.Commit(ctx, &pb.CommitRequest{Host: "h", Samples: []*pb.Sample{{Rollout: "slip-reader", Number: 1, Slot: slot,
+				Text: text, Spans: []*pb.Span{{Version: 1, To: 64}}}}})
+			return err
+		})
+	}
+}
+
+// Tokens measures an entry host by streamed tokens.
+func (o *Overhead) Tokens() error {
+	dir := filepath.Join(o.Dir, "tokens")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	d, err := deployment.New(dir, o.Bin, o.Standin, o.Fixture, "127.76.2")
+	if err != nil {
+		return err
+	}
+	d.Entries = 1
+	d.Pools = []deployment.Pool{{Name: "slips", Kind: "engine", Count: 4, Bears: 64, Work: settings.Duration(2 * time.Millisecond)}}
+	defer d.StopAll()
+	if err := d.StartAll(); err != nil {
+		return err
+	}
+	tenants, err := setUpTenants(d, Scenario{})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(o.Out, "\n| streams | tokens/s | entry core % | entry MB |")
+	fmt.Fprintln(o.Out, "| --- | --- | --- | --- |")
+	var xs, ys []float64
+	for _, streams := range []int{8, 32, 96} {
+		rate, u, err := streamTokens(d, tenants[0].Key, streams)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(o.Out, "| %d | %.0f | %.1f | %.1f |\n", streams, rate, 100*u.Core, float64(u.Bytes)/1e6)
+		xs, ys = append(xs, rate), append(ys, 100*u.Core)
+	}
+	f := fit(xs, ys)
+	fmt.Fprintf(o.Out, "\n- entry core %% by streamed tokens/s: %.4g + %.4g x\n", f.Base, f.Slope)
+	return nil
+}
+
+// streamTokens keeps streams open and counts their tokens.
+func streamTokens(d *deployment.Deployment, key string, streams int) (float64, Use, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var tokens atomic.Int64
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				streamOnce(ctx, d.CallerAddr(0), key, &tokens)
+			}
+		})
+	}
+	time.Sleep(settle) // the ramp
+	before := tokens.Load()
+	u, err := useOf(d.Process("entry-0").PID(), throughputFor)
+	rate := float64(tokens.Load()-before) / throughputFor.Seconds()
+	cancel()
+	wg.Wait()
+	return rate, u, err
+}
+
+func streamOnce(ctx context.Context, addr, key string, tokens *atomic.Int64) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/completions",
+		strings.NewReader(`{"model":"slips","prompt":"p","max_tokens":200,"stream":true}`))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	defer res.Body.Close()
+	for sc := bufio.NewScanner(res.Body); sc.Scan(); {
+		if strings.HasPrefix(sc.Text(), "data: {") {
+			tokens.Add(1)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/connection/backendserver/choice.go
@@ -0,0 +1,89 @@
+package backendserver
+
+import (
+	"math"
+
+	"github.com/zeebo/xxh3"
+)
+
+func (t *Table) choose(all []*state, w Want) *state {
+	if len(all) == 0 {
+		return nil
+	}
+	switch t.policy.Choice {
+	case "robin":
+		t.turn++
+		return nthByID(all, int(t.turn%uint64(len(all))))
+	case "least":
+		return best(all, func(s *state) float64 { return float64(s.running) })
+	}
+	return t.chooseByWait(all, w)
+}
+
+// chooseByWait takes the least expected wait of two random servers and of the
+// one that the prefix hashes to (Mitzenmacher, "The Power of Two Choices in
+// Randomized Load Balancing", 2001).
+func (t *Table) chooseByWait(all []*state, w Want) *state {
+	a, b := all[t.rng.IntN(len(all))], all[t.rng.IntN(len(all))]
+	choice := []*state{a, b}
+	var home *state
+	if w.Prefix != "" && t.policy.Affinity > 0 {
+		home = homeOf(all, w.Prefix)
+		choice = append(choice, home)
+	}
+	return best(choice, func(s *state) float64 {
+		score := s.expectedWait()
+		if s == home {
+			score -= t.policy.Affinity * max(s.latency, minLatency)
+		}
+		return score
+	})
+}
+
+// minLatency stands in for servers that have served nothing yet.
+const minLatency = 0.001
+
+// expectedWait is the time that a new request would take. The server's own
+// report lags, so this host's own requests are a lower bound for it.
+func (s *state) expectedWait() float64 {
+	inflight := float64(max(s.Running, s.running))
+	return max(s.latency, minLatency) * (1 + inflight/float64(max(1, s.Limit)))
+}
+
+// homeOf returns the server that a prefix hashes to (rendezvous hashing,
+// Thaler and Ravishankar, 1998).
+func homeOf(all []*state, prefix string) *state {
+	h := xxh3.HashString(prefix)
+	return best(all, func(s *state) float64 {
+		return -float64(xxh3.HashStringSeed(s.ID, h)) / math.MaxUint64
+	})
+}
+
+// best returns the server with the lowest score; ties go to the lower ID.
+func best(all []*state, score func(*state) float64) *state {
+	var top *state
+	least := math.Inf(1)
+	for _, s := range all {
+		if x := score(s); x < least || (x == least && s.ID < top.ID) {
+			top, least = s, x
+		}
+	}
+	return top
+}
+
+func nthByID(all []*state, n int) *state {
+	for {
+		s := best(all, func(*state) float64 { return 0 })
+		if n == 0 {
+			return s
+		}
+		n--
+		rest := make([]*state, 0, len(all)-1)
+		for _, x := range all {
+			if x != s {
+				rest = append(rest, x)
+			}
+		}
+		all = rest
+	}
+}
--- a/pkg/connection/backendserver/table.go
+++ b/pkg/connection/backendserver/table.go
@@ -4,12 +4,9 @@
 
 import (
 	"hash/maphash"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
-
-	"github.com/zeebo/xxh3"
 )
 
 // Server is what the control leader says of one backend server.
@@ -232,23 +229,6 @@
 	taken          time.Time
 }
 
-// Outcome is how the use of a slot ended.
-type Outcome int
-
-// Outcomes of a slot.
-const (
-	// Served requests ended as they should.
-	Served Outcome = iota
-	// Refused requests were turned away by the server for its load.
-	Refused
-	// Failed requests got a wrong answer.
-	Failed
-	// Broken requests lost their connection; the server may have died.
-	Broken
-	// Abandoned requests ended for a reason that says nothing of the server.
-	Abandoned
-)
-
 // Take takes a slot at the best server that suits, or returns false.
 func (t *Table) Take(w Want) (Slot, bool) {
 	t.mu.Lock()
@@ -288,151 +268,6 @@
 	return false
 }
 
-func (t *Table) choose(all []*state, w Want) *state {
-	if len(all) == 0 {
-		return nil
-	}
-	switch t.policy.Choice {
-	case "robin":
-		t.turn++
-		return nthByID(all, int(t.turn%uint64(len(all))))
-	case "least":
-		return best(all, func(s *state) float64 { return float64(s.running) })
-	}
-	return t.chooseByWait(all, w)
-}
-
-// chooseByWait takes the least expected wait of two random servers and of the
-// one that the prefix hashes to (Mitzenmacher, "The Power of Two Choices in
-// Randomized Load Balancing", 2001).
-func (t *Table) chooseByWait(all []*state, w Want) *state {
-	a, b := all[t.rng.IntN(len(all))], all[t.rng.IntN(len(all))]
-	choice := []*state{a, b}
-	var home *state
-	if w.Prefix != "" && t.policy.Affinity > 0 {
-		home = homeOf(all, w.Prefix)
-		choice = append(choice, home)
-	}
-	return best(choice, func(s *state) float64 {
-		score := s.expectedWait()
-		if s == home {
-			score -= t.policy.Affinity * max(s.latency, minLatency)
-		}
-		return score
-	})
-}
-
-// minLatency stands in for servers that have served nothing yet.
-const minLatency = 0.001
-
-// expectedWait is the time that a new request would take. The server's own
-// report lags, so this host's own requests are a lower bound for it.
-func (s *state) expectedWait() float64 {
-	inflight := float64(max(s.Running, s.running))
-	return max(s.latency, minLatency) * (1 + inflight/float64(max(1, s.Limit)))
-}
-
-// homeOf returns the server that a prefix hashes to (rendezvous hashing,
-// Thaler and Ravishankar, 1998).
-func homeOf(all []*state, prefix string) *state {
-	h := xxh3.HashString(prefix)
-	return best(all, func(s *state) float64 {
-		return -float64(xxh3.HashStringSeed(s.ID, h)) / math.MaxUint64
-	})
-}
-
-// best returns the server with the lowest score; ties go to the lower ID.
-func best(all []*state, score func(*state) float64) *state {
-	var top *state
-	least := math.Inf(1)
-	for _, s := range all {
-		if x := score(s); x < least || (x == least && s.ID < top.ID) {
-			top, least = s, x
-		}
-	}
-	return top
-}
-
-func nthByID(all []*state, n int) *state {
-	for {
-		s := best(all, func(*state) float64 { return 0 })
-		if n == 0 {
-			return s
-		}
-		n--
-		rest := make([]*state, 0, len(all)-1)
-		for _, x := range all {
-			if x != s {
-				rest = append(rest, x)
-			}
-		}
-		all = rest
-	}
-}
-
-// Release gives a slot back.
-func (t *Table) Release(slot Slot, o Outcome) time.Duration {
-	held := time.Since(slot.taken)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.servers[slot.ID]; s != nil {
-		s.running--
-		if s.Incarnation == slot.Incarnation {
-			t.learn(s, o, held)
-		}
-	}
-	return held
-}
-
-func (t *Table) learn(s *state, o Outcome, held time.Duration) {
-	switch o {
-	case Served:
-		s.counts.Served++
-		s.failures, s.ejections = 0, 0
-		if s.latency == 0 {
-			s.latency = held.Seconds()
-		}
-		s.latency += (held.Seconds() - s.latency) / latencyWindow
-	case Refused:
-		// The server bears no more than what runs there now. The leader, which
-		// hears of the refusal, decides on the next share.
-		s.counts.Refused++
-		s.share = min(s.share, s.running)
-	case Failed:
-		s.counts.Failed++
-		t.fail(s)
-	case Broken:
-		s.counts.Failed++
-		s.suspect = true
-	}
-}
-
-// fail ejects a server after several failures in a row, for longer each time,
-// unless too much of the pool is ejected already.
-func (t *Table) fail(s *state) {
-	s.failures++
-	if s.failures < ejectAfter {
-		return
-	}
-	now := time.Now()
-	out, all := 1, 0
-	for _, x := range t.servers {
-		if x.Pool != s.Pool {
-			continue
-		}
-		all++
-		if x != s && now.Before(x.ejectedUntil) {
-			out++
-		}
-	}
-	if float64(out) > ejectMost*float64(all) {
-		return
-	}
-	s.failures = 0
-	s.ejectedUntil = now.Add(min(ejectLongest, ejectFirst<<min(s.ejections, 8)))
-	s.ejections++
-}
-
 // Seed draws a seed that differs between processes.
 func Seed() uint64 { return maphash.Bytes(maphash.MakeSeed(), nil) }
 
--- /dev/null
+++ b/pkg/process/control/demand.go
@@ -0,0 +1,117 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/plantainbank/plantainbank/pkg/process/share"
+	pb "github.com/plantainbank/plantainbank/service/control"
+)
+
+// poolWorkspace names a workspace's demand in a pool.
+type poolWorkspace struct{ pool, workspace string }
+
+// demandWindow is the weight of history in the moving average of the demand.
+// Without it, shares would follow every request, and a slot that moves between
+// two hosts is idle until the second one renews.
+const demandWindow = 6
+
+// smooth takes in a host's demand.
+func (h *host) smooth(now []*pb.Demand) {
+	current := map[poolWorkspace]float64{}
+	for _, d := range now {
+		current[poolWorkspace{d.Pool, d.Workspace}] = float64(d.Amount)
+	}
+	if h.demand == nil {
+		h.demand = current
+		return
+	}
+	for k := range h.demand {
+		if h.demand[k] < demandLeast && current[k] == 0 {
+			delete(h.demand, k)
+			continue
+		}
+		h.demand[k] += (current[k] - h.demand[k]) / demandWindow
+	}
+	for k, amount := range current {
+		if _, ok := h.demand[k]; !ok {
+			h.demand[k] = amount
+		}
+	}
+}
+
+// demandLeast is the average below which a demand counts as none.
+const demandLeast = 0.05
+
+// retarget computes the wanted share of every host at every backend server:
+// workspaces get their fair part of each pool, and hosts get what their
+// workspaces' parts add up to.
+func (r *reign) retarget(weights map[string]float64, now time.Time) {
+	pools := map[string][]string{}
+	for id, b := range r.backends {
+		pools[b.announced.Pool] = append(pools[b.announced.Pool], id)
+	}
+	for pool, ids := range pools {
+		slices.Sort(ids)
+		owed := map[string]float64{}
+		claims := r.hostClaims(pool, r.capacity(ids), weights, now)
+		for _, id := range ids {
+			r.targets[id] = share.Divide(r.backends[id].ramp.Limit, claims, owed, func(h string) uint64 {
+				return xxh3.HashString(id + "/" + h)
+			})
+		}
+	}
+}
+
+func (r *reign) capacity(ids []string) float64 {
+	sum := 0
+	for _, id := range ids {
+		sum += r.backends[id].ramp.Limit
+	}
+	return float64(sum)
+}
+
+// hostClaims returns each live host's weight in a pool.
+func (r *reign) hostClaims(pool string, capacity float64, weights map[string]float64, now time.Time) []share.Claim {
+	demand := map[string]float64{}
+	byHost := map[string]map[string]float64{}
+	live := 0
+	for name, h := range r.hosts {
+		if !r.leases.Live(name, now) || h.leaving {
+			continue
+		}
+		live++
+		byHost[name] = map[string]float64{}
+		for k, amount := range h.demand {
+			if k.pool == pool {
+				demand[k.workspace] += amount
+				byHost[name][k.workspace] = amount
+			}
+		}
+	}
+	var wants []share.Want
+	for w, amount := range demand {
+		wants = append(wants, share.Want{Party: w, Weight: weightOf(weights, w), Amount: amount})
+	}
+	fair := share.FairSplit(capacity, wants)
+	var claims []share.Claim
+	for name, amounts := range byHost {
+		weight := idleWeight * max(capacity, 1) / float64(live)
+		for w, amount := range amounts {
+			if demand[w] > 0 {
+				weight += fair[w] * amount / demand[w]
+			}
+		}
+		claims = append(claims, share.Claim{Holder: name, Weight: weight})
+	}
+	return claims
+}
+
+func weightOf(weights map[string]float64, workspace string) float64 {
+	if w, ok := weights[workspace]; ok {
+		return w
+	}
+	return 1
+}
--- /dev/null
+++ b/pkg/process/control/usage.go
@@ -0,0 +1,62 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/plantainbank/plantainbank/pkg/process/ledger"
+)
+
+// reportUsage closes the usage window that is over and reports closed ones in
+// order. A lost answer leads to the same bytes again.
+func (s *Server) reportUsage(ctx context.Context) {
+	if s.cfg.Platform.Usage == "" {
+		return
+	}
+	now := time.Now()
+	var due *ledger.Close
+	var pending []ledger.Window
+	err := s.onLeader(ctx, func() error {
+		due = s.dueClose(now)
+		pending = slices.Clone(s.ledger.Usage.Pending)
+		return nil
+	})
+	if err != nil {
+		return
+	}
+	if due != nil {
+		if _, err := s.propose(ctx, ledger.Command{Close: due}); err != nil {
+			return
+		}
+	}
+	for _, w := range pending {
+		if _, err := s.post(ctx, s.cfg.Platform.Usage, w.Number, w.Encode()); err != nil {
+			s.scope.Counter("reports_failed").Inc(1)
+			return
+		}
+		s.scope.Counter("reports_sent").Inc(1)
+		if _, err := s.propose(ctx, ledger.Command{Report: &ledger.Report{Number: w.Number}}); err != nil {
+			return
+		}
+	}
+}
+
+// dueClose returns the command that closes the open window, if it is over.
+func (s *Server) dueClose(now time.Time) *ledger.Close {
+	u := &s.ledger.Usage
+	end := now.Truncate(time.Duration(s.cfg.Window)).UnixMilli()
+	if !s.reign.settled(now) || end <= u.Start {
+		return nil
+	}
+	c := &ledger.Close{Number: u.Next, Start: end - time.Duration(s.cfg.Window).Milliseconds(), End: end, Sources: map[string]map[string]ledger.Counters{}}
+	for name, counters := range s.reign.usage {
+		c.Sources[name] = counters
+	}
+	return c
+}
+
+// takeUsage keeps the latest counters of every incarnation.
+func (s *Server) takeUsage(h *host) {
+	s.reign.usage[ledger.SourceName(h.name, h.incarnation)] = h.usage
+}
--- a/pkg/process/disk/disk.go
+++ b/pkg/process/disk/disk.go
@@ -9,21 +9,13 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"encoding/gob"
-	"errors"
 	"fmt"
-	"io/fs"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"slices"
-	"strconv"
-	"strings"
 	"syscall"
 
 	"github.com/zeebo/errs"
-	"github.com/zeebo/xxh3"
 )
 
 // Error wraps failures of the file system.
@@ -90,19 +82,6 @@
 	Entries [][]byte
 }
 
-// Saved is the content of a data folder.
-type Saved struct {
-	Hard []byte
-	// Snapshot is nil if there is none.
-	Snapshot      []byte
-	SnapshotIndex uint64
-	// Entries[i] has index First+i.
-	First   uint64
-	Entries [][]byte
-	// CutBytes is the size of the torn tail that was removed.
-	CutBytes int64
-}
-
 // Disk is an open data folder. It is not safe for concurrent use.
 type Disk struct {
 	dir     string
@@ -163,197 +142,6 @@
 	return nil
 }
 
-func (d *Disk) load() (*Saved, error) {
-	if err := d.loadIdentity(); err != nil {
-		return nil, err
-	}
-	saved := &Saved{}
-	if err := d.loadSnapshot(saved); err != nil {
-		return nil, err
-	}
-	if err := d.loadSegments(saved); err != nil {
-		return nil, err
-	}
-	if err := d.rotate(); err != nil {
-		return nil, err
-	}
-	return saved, nil
-}
-
-// loadIdentity reads the storage number, or draws one for an empty folder.
-func (d *Disk) loadIdentity() error {
-	path := filepath.Join(d.dir, identityFile)
-	text, err := os.ReadFile(path)
-	if err == nil {
-		d.id, err = strconv.ParseUint(strings.TrimSpace(string(text)), 16, 64)
-		if err != nil || d.id == 0 {
-			return &CorruptError{File: path, Reason: "not a storage number"}
-		}
-		return nil
-	}
-	if !errors.Is(err, fs.ErrNotExist) {
-		return Error.Wrap(err)
-	}
-	if names, _ := filepath.Glob(filepath.Join(d.dir, "*"+segmentSuffix)); len(names) > 0 {
-		return &CorruptError{File: path, Reason: "missing beside existing segments"}
-	}
-	d.id = rand.Uint64() | 1
-	return d.replaceFile(identityFile, []byte(strconv.FormatUint(d.id, 16)+"\n"))
-}
-
-func (d *Disk) loadSnapshot(saved *Saved) error {
-	path := filepath.Join(d.dir, snapshotFile)
-	data, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	body, n, reason := readFrame(data)
-	if reason != "" || n != len(data) {
-		return &CorruptError{File: path, Reason: "snapshot " + reason}
-	}
-	var s snapshotBody
-	if err := gob.NewDecoder(bytes.NewReader(body)).Decode(&s); err != nil {
-		return &CorruptError{File: path, Reason: err.Error()}
-	}
-	saved.Snapshot, saved.SnapshotIndex = s.Data, s.Index
-	d.last = s.Index
-	return nil
-}
-
-func (d *Disk) loadSegments(saved *Saved) error {
-	paths, err := filepath.Glob(filepath.Join(d.dir, "*"+segmentSuffix))
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	slices.Sort(paths)
-	saved.First = saved.SnapshotIndex + 1
-	for i, path := range paths {
-		if err := d.loadSegment(path, i == len(paths)-1, saved); err != nil {
-			return err
-		}
-		d.closed = append(d.closed, closedSegment{path, d.last})
-		fmt.Sscanf(filepath.Base(path), "%d", &d.number)
-	}
-	d.hard = saved.Hard
-	return nil
-}
-
-func (d *Disk) loadSegment(path string, final bool, saved *Saved) error {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	for offset := 0; offset < len(data); {
-		body, n, reason := readFrame(data[offset:])
-		if reason != "" {
-			if !final || !tornTail(data[offset:]) {
-				return &CorruptError{File: path, Offset: int64(offset), Reason: reason}
-			}
-			saved.CutBytes = int64(len(data) - offset)
-			if d.readOnly {
-				return nil
-			}
-			return d.cut(path, int64(offset))
-		}
-		var b Batch
-		if err := gob.NewDecoder(bytes.NewReader(body)).Decode(&b); err != nil {
-			return &CorruptError{File: path, Offset: int64(offset), Reason: err.Error()}
-		}
-		if err := saved.take(b); err != nil {
-			return &CorruptError{File: path, Offset: int64(offset), Reason: err.Error()}
-		}
-		if len(b.Entries) > 0 {
-			d.last = max(d.last, b.First+uint64(len(b.Entries))-1)
-		}
-		offset += n
-	}
-	return nil
-}
-
-func (d *Disk) cut(path string, size int64) error {
-	f, err := os.OpenFile(path, os.O_WRONLY, 0)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	defer f.Close()
-	if err := f.Truncate(size); err != nil {
-		return Error.Wrap(err)
-	}
-	return Error.Wrap(d.files.Sync(f))
-}
-
-// take adds a batch in the order in which it was written.
-func (s *Saved) take(b Batch) error {
-	if len(b.Hard) > 0 {
-		s.Hard = b.Hard
-	}
-	if len(b.Entries) == 0 {
-		return nil
-	}
-	end := s.First + uint64(len(s.Entries))
-	if b.First > end {
-		return fmt.Errorf("entries jump from %d to %d", end, b.First)
-	}
-	for i, e := range b.Entries {
-		s.put(b.First+uint64(i), e, i == 0)
-	}
-	return nil
-}
-
-// put stores one entry; the first of a batch drops everything after it.
-func (s *Saved) put(index uint64, e []byte, first bool) {
-	if index < s.First {
-		if first {
-			s.Entries = nil
-		}
-		return
-	}
-	s.Entries = append(s.Entries[:index-s.First], e)
-}
-
-// readFrame returns the first frame's body and size, or why it is not whole.
-func readFrame(data []byte) (body []byte, size int, reason string) {
-	if len(data) < headerBytes {
-		return nil, 0, "short frame header"
-	}
-	n := int(binary.LittleEndian.Uint32(data))
-	if n == 0 || n > maxFrameBytes {
-		return nil, 0, "bad frame length"
-	}
-	if len(data) < headerBytes+n {
-		return nil, 0, "short frame"
-	}
-	body = data[headerBytes : headerBytes+n]
-	if xxh3.Hash(body) != binary.LittleEndian.Uint64(data[4:]) {
-		return nil, 0, "checksum mismatch"
-	}
-	return body, headerBytes + n, ""
-}
-
-// tornTail reports whether a write that was cut by a crash explains data,
-// which starts with a bad frame: no whole frame follows it.
-func tornTail(data []byte) bool {
-	if len(data) < headerBytes {
-		return true
-	}
-	for i := 1; i+headerBytes < len(data); i++ {
-		if _, _, reason := readFrame(data[i:]); reason == "" {
-			return false
-		}
-	}
-	return true
-}
-
-func frame(body []byte) []byte {
-	p := make([]byte, headerBytes, headerBytes+len(body))
-	binary.LittleEndian.PutUint32(p, uint32(len(body)))
-	binary.LittleEndian.PutUint64(p[4:], xxh3.Hash(body))
-	return append(p, body...)
-}
-
 // ID returns the storage number of the folder. It is never zero.
 func (d *Disk) ID() uint64 { return d.id }
 
--- /dev/null
+++ b/pkg/process/disk/frame.go
@@ -0,0 +1,47 @@
+package disk
+
+import (
+	"encoding/binary"
+
+	"github.com/zeebo/xxh3"
+)
+
+// readFrame returns the first frame's body and size, or why it is not whole.
+func readFrame(data []byte) (body []byte, size int, reason string) {
+	if len(data) < headerBytes {
+		return nil, 0, "short frame header"
+	}
+	n := int(binary.LittleEndian.Uint32(data))
+	if n == 0 || n > maxFrameBytes {
+		return nil, 0, "bad frame length"
+	}
+	if len(data) < headerBytes+n {
+		return nil, 0, "short frame"
+	}
+	body = data[headerBytes : headerBytes+n]
+	if xxh3.Hash(body) != binary.LittleEndian.Uint64(data[4:]) {
+		return nil, 0, "checksum mismatch"
+	}
+	return body, headerBytes + n, ""
+}
+
+// tornTail reports whether a write that was cut by a crash explains data,
+// which starts with a bad frame: no whole frame follows it.
+func tornTail(data []byte) bool {
+	if len(data) < headerBytes {
+		return true
+	}
+	for i := 1; i+headerBytes < len(data); i++ {
+		if _, _, reason := readFrame(data[i:]); reason == "" {
+			return false
+		}
+	}
+	return true
+}
+
+func frame(body []byte) []byte {
+	p := make([]byte, headerBytes, headerBytes+len(body))
+	binary.LittleEndian.PutUint32(p, uint32(len(body)))
+	binary.LittleEndian.PutUint64(p[4:], xxh3.Hash(body))
+	return append(p, body...)
+}
--- a/pkg/process/quorum/core.go
+++ b/pkg/process/quorum/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -43,18 +42,6 @@
 	maxRounds           = 64
 )
 
-// progress is what a leader knows of one peer.
-type progress struct {
-	// match is the highest index known to be on the peer's disk.
-	match uint64
-	// next is the next index to send.
-	next uint64
-	// round is the latest round that the peer answered.
-	round uint64
-	// heard is the arrival time of the peer's latest answer.
-	heard time.Time
-}
-
 // Core is the deterministic replicated-log protocol (Ongaro and Ousterhout,
 // "In Search of an Understandable Consensus Algorithm", 2014) with pre-vote,
 // check-quorum and a leader lease. Core does no input or output: Step and Tick
@@ -218,18 +205,6 @@
 	}
 }
 
-// quorumHeard is check-quorum: a leader that lost its majority steps down.
-func (c *Core) quorumHeard(now time.Time) bool {
-	n := 0
-	for _, id := range c.log.current().Voters() {
-		p := c.peers[id]
-		if id == c.id || (p != nil && now.Sub(p.heard) < c.timing.Election*2) {
-			n++
-		}
-	}
-	return n >= c.log.current().Quorum()
-}
-
 // Propose appends data if this replica leads, and returns its position.
 func (c *Core) Propose(kind EntryKind, data []byte) (index, term uint64, err error) {
 	if c.role != Leader {
@@ -297,14 +272,6 @@
 	}
 }
 
-// refusesVote ignores candidates while a leader may still hold its lease.
-func (c *Core) refusesVote(m Message, now time.Time) bool {
-	if m.Kind != MsgPreVote && m.Kind != MsgVote {
-		return false
-	}
-	return c.role == Leader || now.Sub(c.leaderHeard) < c.timing.Election
-}
-
 // answerStale tells the sender of an old term what the term is now.
 func (c *Core) answerStale(m Message) {
 	switch m.Kind {
@@ -315,281 +282,6 @@
 	}
 }
 
-func (c *Core) stepVote(m Message, now time.Time) {
-	fresh := c.log.upToDate(m.LogIndex, m.LogTerm)
-	if m.Kind == MsgPreVote {
-		if fresh && m.Term > c.hard.Term {
-			c.out = append(c.out, Message{Kind: MsgPreVoteReply, From: c.id, To: m.From, Term: m.Term})
-			return
-		}
-		// The refusal carries this term, so that a candidate with the longer
-		// log but the older term can catch up and win.
-		c.send(Message{Kind: MsgPreVoteReply, To: m.From, Reject: true})
-		return
-	}
-	free := c.hard.Vote == 0 || c.hard.Vote == m.From
-	if !fresh || !free || c.leader != 0 {
-		c.send(Message{Kind: MsgVoteReply, To: m.From, Reject: true})
-		return
-	}
-	c.setHard(HardState{Term: c.hard.Term, Vote: m.From})
-	c.resetElection(now)
-	c.send(Message{Kind: MsgVoteReply, To: m.From})
-}
-
-func (c *Core) stepVoteReply(m Message, now time.Time) {
-	switch {
-	case m.Reject:
-		return
-	case m.Kind == MsgPreVoteReply && (c.role != PreCandidate || m.Term != c.hard.Term+1):
-		return
-	case m.Kind == MsgVoteReply && c.role != Candidate:
-		return
-	}
-	c.votes[m.From] = true
-	c.countVotes(now)
-}
-
-func (c *Core) countVotes(now time.Time) {
-	n := 0
-	for _, id := range c.log.current().Voters() {
-		if c.votes[id] {
-			n++
-		}
-	}
-	if n < c.log.current().Quorum() {
-		return
-	}
-	if c.role == PreCandidate {
-		c.campaign(Candidate, now)
-		return
-	}
-	c.becomeLeader(now)
-}
-
-func (c *Core) campaign(role Role, now time.Time) {
-	c.role = role
-	c.leader = 0
-	c.votes = map[NodeID]bool{c.id: true}
-	term, kind := c.hard.Term+1, MsgPreVote
-	if role == Candidate {
-		kind = MsgVote
-		c.setHard(HardState{Term: term, Vote: c.id})
-	}
-	for _, id := range c.log.current().Voters() {
-		if id != c.id {
-			c.out = append(c.out, Message{Kind: kind, From: c.id, To: id, Term: term,
-				LogIndex: c.log.lastIndex(), LogTerm: c.log.lastTerm()})
-		}
-	}
-	c.countVotes(now)
-}
-
-func (c *Core) becomeFollower(term uint64, leader NodeID, now time.Time) {
-	if term > c.hard.Term {
-		c.setHard(HardState{Term: term})
-	}
-	if c.role == Leader {
-		c.resetElection(now)
-	}
-	c.role = Follower
-	c.leader = leader
-}
-
-func (c *Core) becomeLeader(now time.Time) {
-	c.role = Leader
-	c.leader = c.id
-	c.round = 0
-	c.roundSent = map[uint64]time.Time{}
-	c.peers = map[NodeID]*progress{}
-	c.syncPeers(now)
-	c.termStart = c.log.lastIndex() + 1
-	c.append(Entry{Index: c.termStart, Term: c.hard.Term, Kind: EntryNoop})
-	c.broadcast(now)
-}
-
-// syncPeers makes the progress table follow the membership.
-func (c *Core) syncPeers(now time.Time) {
-	current := c.log.current()
-	for id := range c.peers {
-		if _, ok := current.Find(id); !ok {
-			delete(c.peers, id)
-		}
-	}
-	for _, m := range current {
-		if m.ID != c.id && c.peers[m.ID] == nil {
-			c.peers[m.ID] = &progress{next: c.log.lastIndex() + 1, heard: now}
-		}
-	}
-}
-
-// broadcast opens a new round and sends it to every peer.
-func (c *Core) broadcast(now time.Time) {
-	c.syncPeers(now)
-	c.heartbeatDue = now.Add(c.timing.Heartbeat)
-	c.round++
-	c.roundSent[c.round] = now
-	delete(c.roundSent, c.round-maxRounds)
-	for id, p := range c.peers {
-		c.sendAppend(id, p)
-	}
-	c.advanceCommit()
-}
-
-func (c *Core) sendAppend(to NodeID, p *progress) {
-	prev := p.next - 1
-	term, ok := c.log.term(prev)
-	if !ok {
-		snap := c.log.snap
-		c.send(Message{Kind: MsgSnapshot, To: to, Round: c.round, Snapshot: &snap})
-		p.next = snap.Index + 1
-		return
-	}
-	entries := c.log.slice(p.next, maxEntriesPerAppend)
-	c.send(Message{Kind: MsgAppend, To: to, LogIndex: prev, LogTerm: term,
-		Entries: entries, Commit: c.commit, Round: c.round})
-	p.next += uint64(len(entries))
-}
-
-func (c *Core) stepAppend(m Message, now time.Time) {
-	c.follow(m, now)
-	if m.LogIndex < c.commit {
-		c.send(Message{Kind: MsgAppendReply, To: m.From, LogIndex: c.commit, Round: m.Round})
-		return
-	}
-	if t, ok := c.log.term(m.LogIndex); !ok || t != m.LogTerm {
-		hint := min(m.LogIndex-1, c.log.lastIndex())
-		c.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true, LogIndex: hint, Round: m.Round})
-		return
-	}
-	for _, e := range m.Entries {
-		c.appendMissing(e)
-	}
-	last := m.LogIndex + uint64(len(m.Entries))
-	c.commit = max(c.commit, min(m.Commit, last))
-	c.send(Message{Kind: MsgAppendReply, To: m.From, LogIndex: last, Round: m.Round})
-}
-
-func (c *Core) follow(m Message, now time.Time) {
-	c.becomeFollower(m.Term, m.From, now)
-	c.leaderHeard = now
-	c.resetElection(now)
-}
-
-// appendMissing adds e unless the log holds it; a conflict drops the tail.
-func (c *Core) appendMissing(e Entry) {
-	if t, ok := c.log.term(e.Index); ok {
-		if t == e.Term {
-			return
-		}
-		c.log.truncate(e.Index)
-		c.stable = min(c.stable, e.Index-1)
-	}
-	c.append(e)
-}
-
-func (c *Core) append(e Entry) {
-	c.log.push(e)
-	if c.persistLow == 0 || e.Index < c.persistLow {
-		c.persistLow = e.Index
-	}
-}
-
-func (c *Core) stepSnapshot(m Message, now time.Time) {
-	c.follow(m, now)
-	snap := m.Snapshot
-	if snap.Index > c.commit {
-		c.log.compact(*snap)
-		c.commit = snap.Index
-		c.snapDirty = snap
-		c.persistLow = 0
-		if c.log.lastIndex() > snap.Index {
-			c.persistLow = snap.Index + 1
-		}
-	}
-	c.send(Message{Kind: MsgAppendReply, To: m.From, LogIndex: c.commit, Round: m.Round})
-}
-
-func (c *Core) stepAppendReply(m Message, now time.Time) {
-	p := c.peers[m.From]
-	if c.role != Leader || p == nil {
-		return
-	}
-	p.heard = now
-	p.round = max(p.round, m.Round)
-	if m.Reject {
-		p.next = max(p.match+1, min(p.next, m.LogIndex+1))
-		return
-	}
-	p.match = max(p.match, m.LogIndex)
-	p.next = max(p.next, p.match+1)
-	c.advanceCommit()
-	if p.next <= c.log.lastIndex() {
-		c.sendAppend(m.From, p)
-	}
-}
-
-// advanceCommit commits what a majority of the voters has persisted.
-func (c *Core) advanceCommit() {
-	var match []uint64
-	for _, id := range c.log.current().Voters() {
-		match = append(match, c.matchOf(id))
-	}
-	index := nthHighest(match, c.log.current().Quorum())
-	if term, ok := c.log.term(index); ok && term == c.hard.Term && index > c.commit {
-		c.commit = index
-		if !c.log.current().Voter(c.id) && c.log.currentIndex() <= c.commit {
-			c.role, c.leader = Follower, 0
-		}
-	}
-}
-
-func (c *Core) matchOf(id NodeID) uint64 {
-	if id == c.id {
-		return c.stable
-	}
-	if p := c.peers[id]; p != nil {
-		return p.match
-	}
-	return 0
-}
-
-// LeaseStart returns the send time from which a majority has followed this
-// leader; ok is false if there is none.
-func (c *Core) LeaseStart(now time.Time) (start time.Time, ok bool) {
-	if c.role != Leader {
-		return time.Time{}, false
-	}
-	var rounds []uint64
-	for _, id := range c.log.current().Voters() {
-		if id == c.id {
-			rounds = append(rounds, c.round)
-		} else if p := c.peers[id]; p != nil {
-			rounds = append(rounds, p.round)
-		}
-	}
-	start, ok = c.roundSent[nthHighest(rounds, c.log.current().Quorum())]
-	if len(c.log.current().Voters()) == 1 {
-		return now, true
-	}
-	return start, ok
-}
-
-// LeaseUntil returns the end of the leader lease; ok is false without one.
-func (c *Core) LeaseUntil(now time.Time) (until time.Time, ok bool) {
-	start, ok := c.LeaseStart(now)
-	if !ok || c.applied < c.termStart {
-		return time.Time{}, false
-	}
-	until = start.Add(c.timing.Lease)
-	return until, now.Before(until)
-}
-
-func (c *Core) resetElection(now time.Time) {
-	jitter := time.Duration(c.rng.Int64N(int64(c.timing.Election)))
-	c.electionDue = now.Add(c.timing.Election + jitter)
-}
-
 func (c *Core) setHard(h HardState) {
 	c.hard = h
 	c.hardDirty = true
@@ -605,12 +297,3 @@
 	m, _ := c.log.current().Find(id)
 	return m.Addr
 }
-
-// nthHighest returns the n-th highest value, or zero.
-func nthHighest(values []uint64, n int) uint64 {
-	if len(values) < n {
-		return 0
-	}
-	slices.Sort(values)
-	return values[len(values)-n]
-}
--- /dev/null
+++ b/pkg/process/quorum/election.go
@@ -0,0 +1,123 @@
+package quorum
+
+import (
+	"time"
+)
+
+// quorumHeard is check-quorum: a leader that lost its majority steps down.
+func (c *Core) quorumHeard(now time.Time) bool {
+	n := 0
+	for _, id := range c.log.current().Voters() {
+		p := c.peers[id]
+		if id == c.id || (p != nil && now.Sub(p.heard) < c.timing.Election*2) {
+			n++
+		}
+	}
+	return n >= c.log.current().Quorum()
+}
+
+// refusesVote ignores candidates while a leader may still hold its lease.
+func (c *Core) refusesVote(m Message, now time.Time) bool {
+	if m.Kind != MsgPreVote && m.Kind != MsgVote {
+		return false
+	}
+	return c.role == Leader || now.Sub(c.leaderHeard) < c.timing.Election
+}
+
+func (c *Core) stepVote(m Message, now time.Time) {
+	fresh := c.log.upToDate(m.LogIndex, m.LogTerm)
+	if m.Kind == MsgPreVote {
+		if fresh && m.Term > c.hard.Term {
+			c.out = append(c.out, Message{Kind: MsgPreVoteReply, From: c.id, To: m.From, Term: m.Term})
+			return
+		}
+		// The refusal carries this term, so that a candidate with the longer
+		// log but the older term can catch up and win.
+		c.send(Message{Kind: MsgPreVoteReply, To: m.From, Reject: true})
+		return
+	}
+	free := c.hard.Vote == 0 || c.hard.Vote == m.From
+	if !fresh || !free || c.leader != 0 {
+		c.send(Message{Kind: MsgVoteReply, To: m.From, Reject: true})
+		return
+	}
+	c.setHard(HardState{Term: c.hard.Term, Vote: m.From})
+	c.resetElection(now)
+	c.send(Message{Kind: MsgVoteReply, To: m.From})
+}
+
+func (c *Core) stepVoteReply(m Message, now time.Time) {
+	switch {
+	case m.Reject:
+		return
+	case m.Kind == MsgPreVoteReply && (c.role != PreCandidate || m.Term != c.hard.Term+1):
+		return
+	case m.Kind == MsgVoteReply && c.role != Candidate:
+		return
+	}
+	c.votes[m.From] = true
+	c.countVotes(now)
+}
+
+func (c *Core) countVotes(now time.Time) {
+	n := 0
+	for _, id := range c.log.current().Voters() {
+		if c.votes[id] {
+			n++
+		}
+	}
+	if n < c.log.current().Quorum() {
+		return
+	}
+	if c.role == PreCandidate {
+		c.campaign(Candidate, now)
+		return
+	}
+	c.becomeLeader(now)
+}
+
+func (c *Core) campaign(role Role, now time.Time) {
+	c.role = role
+	c.leader = 0
+	c.votes = map[NodeID]bool{c.id: true}
+	term, kind := c.hard.Term+1, MsgPreVote
+	if role == Candidate {
+		kind = MsgVote
+		c.setHard(HardState{Term: term, Vote: c.id})
+	}
+	for _, id := range c.log.current().Voters() {
+		if id != c.id {
+			c.out = append(c.out, Message{Kind: kind, From: c.id, To: id, Term: term,
+				LogIndex: c.log.lastIndex(), LogTerm: c.log.lastTerm()})
+		}
+	}
+	c.countVotes(now)
+}
+
+func (c *Core) becomeFollower(term uint64, leader NodeID, now time.Time) {
+	if term > c.hard.Term {
+		c.setHard(HardState{Term: term})
+	}
+	if c.role == Leader {
+		c.resetElection(now)
+	}
+	c.role = Follower
+	c.leader = leader
+}
+
+func (c *Core) becomeLeader(now time.Time) {
+	c.role = Leader
+	c.leader = c.id
+	c.round = 0
+	c.roundSent = map[uint64]time.Time{}
+	c.peers = map[NodeID]*progress{}
+	c.syncPeers(now)
+	c.termStart = c.log.lastIndex() + 1
+	c.append(Entry{Index: c.termStart, Term: c.hard.Term, Kind: EntryNoop})
+	c.broadcast(now)
+}
+
+func (c *Core) resetElection(now time.Time) {
+	jitter := time.Duration(c.rng.Int64N(int64(c.timing.Election)))
+	c.electionDue = now.Add(c.timing.Election + jitter)
+}
--- /dev/null
+++ b/pkg/process/quorum/lease.go
@@ -0,0 +1,36 @@
+package quorum
+
+import (
+	"time"
+)
+
+// LeaseStart returns the send time from which a majority has followed this
+// leader; ok is false if there is none.
+func (c *Core) LeaseStart(now time.Time) (start time.Time, ok bool) {
+	if c.role != Leader {
+		return time.Time{}, false
+	}
+	var rounds []uint64
+	for _, id := range c.log.current().Voters() {
+		if id == c.id {
+			rounds = append(rounds, c.round)
+		} else if p := c.peers[id]; p != nil {
+			rounds = append(rounds, p.round)
+		}
+	}
+	start, ok = c.roundSent[nthHighest(rounds, c.log.current().Quorum())]
+	if len(c.log.current().Voters()) == 1 {
+		return now, true
+	}
+	return start, ok
+}
+
+// LeaseUntil returns the end of the leader lease; ok is false without one.
+func (c *Core) LeaseUntil(now time.Time) (until time.Time, ok bool) {
+	start, ok := c.LeaseStart(now)
+	if !ok || c.applied < c.termStart {
+		return time.Time{}, false
+	}
+	until = start.Add(c.timing.Lease)
+	return until, now.Before(until)
+}
--- /dev/null
+++ b/pkg/process/quorum/replicate.go
@@ -0,0 +1,173 @@
+package quorum
+
+import (
+	"slices"
+	"time"
+)
+
+// progress is what a leader knows of one peer.
+type progress struct {
+	// match is the highest index known to be on the peer's disk.
+	match uint64
+	// next is the next index to send.
+	next uint64
+	// round is the latest round that the peer answered.
+	round uint64
+	// heard is the arrival time of the peer's latest answer.
+	heard time.Time
+}
+
+// syncPeers makes the progress table follow the membership.
+func (c *Core) syncPeers(now time.Time) {
+	current := c.log.current()
+	for id := range c.peers {
+		if _, ok := current.Find(id); !ok {
+			delete(c.peers, id)
+		}
+	}
+	for _, m := range current {
+		if m.ID != c.id && c.peers[m.ID] == nil {
+			c.peers[m.ID] = &progress{next: c.log.lastIndex() + 1, heard: now}
+		}
+	}
+}
+
+// broadcast opens a new round and sends it to every peer.
+func (c *Core) broadcast(now time.Time) {
+	c.syncPeers(now)
+	c.heartbeatDue = now.Add(c.timing.Heartbeat)
+	c.round++
+	c.roundSent[c.round] = now
+	delete(c.roundSent, c.round-maxRounds)
+	for id, p := range c.peers {
+		c.sendAppend(id, p)
+	}
+	c.advanceCommit()
+}
+
+func (c *Core) sendAppend(to NodeID, p *progress) {
+	prev := p.next - 1
+	term, ok := c.log.term(prev)
+	if !ok {
+		snap := c.log.snap
+		c.send(Message{Kind: MsgSnapshot, To: to, Round: c.round, Snapshot: &snap})
+		p.next = snap.Index + 1
+		return
+	}
+	entries := c.log.slice(p.next, maxEntriesPerAppend)
+	c.send(Message{Kind: MsgAppend, To: to, LogIndex: prev, LogTerm: term,
+		Entries: entries, Commit: c.commit, Round: c.round})
+	p.next += uint64(len(entries))
+}
+
+func (c *Core) stepAppend(m Message, now time.Time) {
+	c.follow(m, now)
+	if m.LogIndex < c.commit {
+		c.send(Message{Kind: MsgAppendReply, To: m.From, LogIndex: c.commit, Round: m.Round})
+		return
+	}
+	if t, ok := c.log.term(m.LogIndex); !ok || t != m.LogTerm {
+		hint := min(m.LogIndex-1, c.log.lastIndex())
+		c.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true, LogIndex: hint, Round: m.Round})
+		return
+	}
+	for _, e := range m.Entries {
+		c.appendMissing(e)
+	}
+	last := m.LogIndex + uint64(len(m.Entries))
+	c.commit = max(c.commit, min(m.Commit, last))
+	c.send(Message{Kind: MsgAppendReply, To: m.From, LogIndex: last, Round: m.Round})
+}
+
+func (c *Core) follow(m Message, now time.Time) {
+	c.becomeFollower(m.Term, m.From, now)
+	c.leaderHeard = now
+	c.resetElection(now)
+}
+
+// appendMissing adds e unless the log holds it; a conflict drops the tail.
+func (c *Core) appendMissing(e Entry) {
+	if t, ok := c.log.term(e.Index); ok {
+		if t == e.Term {
+			return
+		}
+		c.log.truncate(e.Index)
+		c.stable = min(c.stable, e.Index-1)
+	}
+	c.append(e)
+}
+
+func (c *Core) append(e Entry) {
+	c.log.push(e)
+	if c.persistLow == 0 || e.Index < c.persistLow {
+		c.persistLow = e.Index
+	}
+}
+
+func (c *Core) stepSnapshot(m Message, now time.Time) {
+	c.follow(m, now)
+	snap := m.Snapshot
+	if snap.Index > c.commit {
+		c.log.compact(*snap)
+		c.commit = snap.Index
+		c.snapDirty = snap
+		c.persistLow = 0
+		if c.log.lastIndex() > snap.Index {
+			c.persistLow = snap.Index + 1
+		}
+	}
+	c.send(Message{Kind: MsgAppendReply, To: m.From, LogIndex: c.commit, Round: m.Round})
+}
+
+func (c *Core) stepAppendReply(m Message, now time.Time) {
+	p := c.peers[m.From]
+	if c.role != Leader || p == nil {
+		return
+	}
+	p.heard = now
+	p.round = max(p.round, m.Round)
+	if m.Reject {
+		p.next = max(p.match+1, min(p.next, m.LogIndex+1))
+		return
+	}
+	p.match = max(p.match, m.LogIndex)
+	p.next = max(p.next, p.match+1)
+	c.advanceCommit()
+	if p.next <= c.log.lastIndex() {
+		c.sendAppend(m.From, p)
+	}
+}
+
+// advanceCommit commits what a majority of the voters has persisted.
+func (c *Core) advanceCommit() {
+	var match []uint64
+	for _, id := range c.log.current().Voters() {
+		match = append(match, c.matchOf(id))
+	}
+	index := nthHighest(match, c.log.current().Quorum())
+	if term, ok := c.log.term(index); ok && term == c.hard.Term && index > c.commit {
+		c.commit = index
+		if !c.log.current().Voter(c.id) && c.log.currentIndex() <= c.commit {
+			c.role, c.leader = Follower, 0
+		}
+	}
+}
+
+func (c *Core) matchOf(id NodeID) uint64 {
+	if id == c.id {
+		return c.stable
+	}
+	if p := c.peers[id]; p != nil {
+		return p.match
+	}
+	return 0
+}
+
+// nthHighest returns the n-th highest value, or zero.
+func nthHighest(values []uint64, n int) uint64 {
+	if len(values) < n {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)-n]
+}
