--- a/_scripts/measure/main.go
+++ b/_scripts/measure/main.go
@@ -1,5 +1,5 @@
 // Command measure measures real processes and prints Markdown tables. Its
-// argument names the part: capacity, overhead, rollout,
+// argument names the part: capacity, samples, overhead, tokens, rollout,
 // spending, scenarios or all. A scenario and a policy may follow.
 package main
 
@@ -20,7 +20,7 @@
 }
 
 func run() error {
-	part := "all"
+	part := "all" // the part to run
 	if len(os.Args) > 1 {
 		part = os.Args[1]
 	}
@@ -33,46 +33,41 @@
 	if err != nil {
 		return err
 	}
-	if part == "capacity" || part == "all" {
-		c := &measure.Capacity{Bin: filepath.Join(bin, "plantainbank"), Standin: filepath.Join(bin, "standin"),
-			Fixture: filepath.Join("_fixtures", "rahbar"), Dir: dir, Period: 6 * time.Second, Out: os.Stdout}
-		if err := c.Run(); err != nil {
-			return err
+	bins := binaries{filepath.Join(bin, "plantainbank"), filepath.Join(bin, "standin"), filepath.Join("_fixtures", "rahbar"), dir}
+	for _, x := range parts(bins, os.Args) {
+		if part != "all" && part != x.name {
+			continue
 		}
-	}
-	if part == "overhead" || part == "all" {
-		o := &measure.Overhead{Bin: filepath.Join(bin, "plantainbank"), Standin: filepath.Join(bin, "standin"),
-			Fixture: filepath.Join("_fixtures", "rahbar"), Dir: dir, Out: os.Stdout}
-		if err := o.Run(); err != nil {
-			return err
-		}
-	}
-	if part == "rollout" || part == "all" {
-		r := &measure.Rollout{Bin: filepath.Join(bin, "plantainbank"), Standin: filepath.Join(bin, "standin"),
-			Fixture: filepath.Join("_fixtures", "rahbar"), Dir: dir, Out: os.Stdout}
-		if err := r.Run(); err != nil {
-			return err
+		if err := x.run(); err != nil {
+			return fmt.Errorf("%s: %w", x.name, err)
 		}
 	}
-	if part == "spending" || part == "all" {
-		s := &measure.Spending{Bin: filepath.Join(bin, "plantainbank"), Standin: filepath.Join(bin, "standin"),
-			Fixture: filepath.Join("_fixtures", "rahbar"), Dir: dir, Out: os.Stdout}
-		if err := s.Run(); err != nil {
-			return err
-		}
+	return nil
+}
+
+// binaries names the programs, the fixture and the working folder.
+type binaries struct{ program, standin, fixture, dir string }
+
+// part is one measurement.
+type part struct {
+	name string
+	run  func() error
+}
+
+// parts lists the measurements in the order in which they run. After the part,
+// the arguments may name a scenario and a policy.
+func parts(b binaries, args []string) []part {
+	c := &measure.Capacity{Bin: b.program, Standin: b.standin, Fixture: b.fixture, Dir: b.dir, Period: 6 * time.Second, Out: os.Stdout}
+	o := &measure.Overhead{Bin: b.program, Standin: b.standin, Fixture: b.fixture, Dir: b.dir, Out: os.Stdout}
+	r := &measure.Rollout{Bin: b.program, Standin: b.standin, Fixture: b.fixture, Dir: b.dir, Out: os.Stdout}
+	m := &measure.Spending{Bin: b.program, Standin: b.standin, Fixture: b.fixture, Dir: b.dir, Out: os.Stdout}
+	s := &measure.ScenarioRun{Bin: b.program, Standin: b.standin, Fixture: b.fixture, Dir: b.dir, Rounds: 2, Out: os.Stdout}
+	if len(args) > 2 {
+		s.Only, s.Rounds, s.Detail = args[2], 1, true
 	}
-	if part == "scenarios" || part == "all" {
-		s := &measure.ScenarioRun{Bin: filepath.Join(bin, "plantainbank"), Standin: filepath.Join(bin, "standin"),
-			Fixture: filepath.Join("_fixtures", "rahbar"), Dir: dir, Rounds: 2, Out: os.Stdout}
-		if len(os.Args) > 2 {
-			s.Only = os.Args[2]
-			s.Rounds = 1
-			s.Detail = true
-		}
-		if len(os.Args) > 3 {
-			s.Policy = os.Args[3]
-		}
-		return s.Run()
+	if len(args) > 3 {
+		s.Policy = args[3]
 	}
-	return nil
+	return []part{{"capacity", c.Run}, {"samples", c.Samples}, {"overhead", o.Run}, {"tokens", o.Tokens},
+		{"rollout", r.Run}, {"spending", m.Run}, {"scenarios", s.Run}}
 }
--- a/internal/measure/capacity.go
+++ b/internal/measure/capacity.go
@@ -190,7 +190,7 @@
 			100*p.LeaderCore, 100*p.FollowerCore, p.LeaderMB, p.FollowerMB, p.Renewals, p.HostBytes, p.InForce)
 	}
 	c.fits(all)
-	return c.Samples()
+	return nil
 }
 
 func (c *Capacity) fits(all []Point) {
--- a/internal/measure/overhead.go
+++ b/internal/measure/overhead.go
@@ -62,10 +62,7 @@
 	if err := o.throughput(d); err != nil { // warms the servers up, too
 		return err
 	}
-	if err := o.latency(d); err != nil {
-		return err
-	}
-	return o.Tokens()
+	return o.latency(d)
 }
 
 func (o *Overhead) idle(d *deployment.Deployment) error {
--- a/pkg/process/control/duty_test.go
+++ b/pkg/process/control/duty_test.go
@@ -5,8 +5,49 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
 )
 
+// TestNoLeaseNoOrder asks a process without a lease to send an order: none of
+// its bytes reaches the receiver.
+func TestNoLeaseNoOrder(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	sent := make(chan int, 1)
+	go func() {
+		c, err := lis.Accept()
+		if err != nil {
+			sent <- 0
+			return
+		}
+		n, _ := c.Read(make([]byte, 1))
+		c.Close()
+		sent <- n
+	}()
+	node, err := quorum.NewNode(quorum.Config{ID: 1, Timing: quorum.DefaultTiming()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{node: node}
+	s.orders = s.newOrderClient()
+	if s.inCharge(time.Now()) {
+		t.Error("a follower is in charge")
+	}
+	_, err = s.post(t.Context(), "http://"+lis.Addr().String(), 1, []byte("order"))
+	var noLease *NoLeaseError
+	if !errors.As(err, &noLease) {
+		t.Errorf("error is %v", err)
+	}
+	lis.Close()
+	if n := <-sent; n != 0 {
+		t.Error("bytes of an order were sent without a lease")
+	}
+}
+
 // TestGuardedConnStopsWithTheLease freezes an order between check and write.
 func TestGuardedConnStopsWithTheLease(t *testing.T) {
 	for _, c := range []struct {
