--- a/internal/measure/slopes.go
+++ b/internal/measure/slopes.go
@@ -122,6 +122,9 @@
 	if err := d.StartAll(); err != nil {
 		return err
 	}
+	if err := d.AwaitReady(); err != nil {
+		return err
+	}
 	tenants, err := setUpTenants(d, Scenario{})
 	if err != nil {
 		return err
