Count leases on the monotonic clock; restore records from a list

Cause: the host's lease end and the start of the leader's duties were kept as wall-clock nanoseconds, so a clock that is set back would have made a lease longer than granted; found by reading. And the page on restoring described a way that does not work. Ruled out: a test of the clock, which cannot be set here.

--- a/cmd/plantainbank/cmds/record.go
+++ b/cmd/plantainbank/cmds/record.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -24,7 +25,7 @@
 	return command{
 		path: "record put",
 		help: "Submit the records of a file.",
-		detail: "The file holds one record or a list of them in JSON with comments. Without --replaces each record " +
+		detail: "The file holds one record, a list of them, or what \"record list --json\" printed, in JSON with comments. Without --replaces each record " +
 			"replaces the revision that stands now. Files with several records take no --request and no --replaces.",
 		args: []argument{{"file", "The file with the records.", &file}},
 		options: c.options(
@@ -60,13 +61,9 @@
 	if err != nil {
 		return nil, &UsageError{Problem: err.Error()}
 	}
-	var records []record.Record
-	if strictjson.DecodeCommented(data, &records) != nil {
-		var one record.Record
-		if err := strictjson.DecodeCommented(data, &one); err != nil {
-			return nil, fmt.Errorf("%s: %w", file, err)
-		}
-		records = []record.Record{one}
+	records, err := decodeRecords(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
 	}
 	for i, r := range records {
 		if err := record.Check(r); err != nil {
@@ -76,6 +73,38 @@
 	return records, nil
 }
 
+// decodeRecords accepts a list, what "record list --json" prints, or one record.
+func decodeRecords(data []byte) ([]record.Record, error) {
+	var list []record.Record
+	if strictjson.DecodeCommented(data, &list) == nil {
+		return list, nil
+	}
+	var printed operator.Records
+	if strictjson.DecodeCommented(data, &printed) == nil && printed.Records != nil {
+		return restorable(printed.Records), nil
+	}
+	var one record.Record
+	if err := strictjson.DecodeCommented(data, &one); err != nil {
+		return nil, err
+	}
+	return []record.Record{one}, nil
+}
+
+// restorable puts records before the ones that name them.
+func restorable(records []record.Record) []record.Record {
+	slices.SortStableFunc(records, func(a, b record.Record) int {
+		return order(a.Kind) - order(b.Kind)
+	})
+	return records
+}
+
+func order(kind string) int {
+	if kind == record.KindWorkspace || kind == record.KindZone {
+		return 0
+	}
+	return 1
+}
+
 // replaced returns the revision that a change is made from.
 func replaced(c *client, kind, name string, named int) (uint64, error) {
 	if named >= 0 {
--- a/internal/deployment/config_test.go
+++ b/internal/deployment/config_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -138,6 +140,30 @@
 	})
 }
 
+// TestRecordsAreRestoredFromAList loses every disk and puts the printed records
+// into a new group: keys work again.
+func TestRecordsAreRestoredFromAList(t *testing.T) {
+	t.Parallel()
+	d := start(t, nil)
+	saved := filepath.Join(d.Dir, "saved.json")
+	must(t, os.WriteFile(saved, []byte(mustCLI(t, d, "record", "list", "--json")), 0o600))
+	for i := range d.Control {
+		d.Process("control-" + strconv.Itoa(i)).Kill()
+	}
+	must(t, os.RemoveAll(filepath.Join(d.Dir, "data")))
+	for i := range d.Entries {
+		d.Process("entry-" + strconv.Itoa(i)).Kill()
+	}
+	must(t, d.each(d.Control, d.StartControl))
+	must(t, d.each(d.Entries, d.StartEntry))
+	must(t, d.AwaitReady())
+	mustCLI(t, d, "record", "put", saved)
+	await(t, "the key to work again", func() bool {
+		code, _ := call(d, 0, key(t, d, "training"), "POST", "/reorder/x", "again")
+		return code == http.StatusOK
+	})
+}
+
 // TestOldAndNewSchemaSideBySide reads records in both forms.
 func TestOldAndNewSchemaSideBySide(t *testing.T) {
 	t.Parallel()
--- a/pkg/process/control/control.go
+++ b/pkg/process/control/control.go
@@ -52,9 +52,9 @@
 	fleet   *fleet.Planner
 	// planned and ordered belong to the duty that orders servers.
 	planned, ordered time.Time
-	// chargeFrom is when this leader may give orders, in Unix nanoseconds;
-	// zero while it does not lead.
-	chargeFrom atomic.Int64
+	// chargeFrom is when this leader may give orders; nil while it does not
+	// lead.
+	chargeFrom atomic.Pointer[time.Time]
 	timing     quorum.Timing
 }
 
@@ -229,13 +229,14 @@
 	s.scope.Gauge("term").Update(float64(st.Term))
 	if st.Role != quorum.Leader {
 		s.reign = nil
-		s.chargeFrom.Store(0)
+		s.chargeFrom.Store(nil)
 		return
 	}
 	if s.reign == nil || s.reign.term != st.Term {
 		now := time.Now()
 		s.reign = newReign(st.Term, now, time.Duration(s.cfg.Grant))
-		s.chargeFrom.Store(now.Add(s.timing.Lease).UnixNano())
+		from := now.Add(s.timing.Lease)
+		s.chargeFrom.Store(&from)
 	}
 }
 
--- a/pkg/process/control/duty.go
+++ b/pkg/process/control/duty.go
@@ -51,6 +51,6 @@
 	if s.leading() != nil {
 		return false
 	}
-	start := s.chargeFrom.Load()
-	return start > 0 && now.UnixNano() >= start
+	from := s.chargeFrom.Load()
+	return from != nil && !now.Before(*from)
 }
--- a/pkg/process/grant/keeper.go
+++ b/pkg/process/grant/keeper.go
@@ -54,7 +54,10 @@
 type Keeper struct {
 	cfg  Config
 	view atomic.Pointer[view.View]
-	// until is the end of the lease in Unix nanoseconds.
+	// started is what until counts from. Its monotonic reading keeps the lease
+	// from growing when the wall clock is set back.
+	started time.Time
+	// until is the end of the lease in nanoseconds after started.
 	until atomic.Int64
 	// open is the number of slots of steps that nobody works on.
 	open atomic.Int64
@@ -80,14 +83,14 @@
 
 // New returns a keeper that holds nothing yet.
 func New(cfg Config) *Keeper {
-	k := &Keeper{cfg: cfg, announced: map[string]*announcement{}}
+	k := &Keeper{cfg: cfg, started: time.Now(), announced: map[string]*announcement{}}
 	k.view.Store((&view.View{}).Update(0, true, nil, nil))
 	return k
 }
 
 // View returns the version in force; ok is false without a valid lease.
 func (k *Keeper) View() (v *view.View, ok bool) {
-	return k.view.Load(), time.Now().UnixNano() < k.until.Load()
+	return k.view.Load(), int64(time.Since(k.started)) < k.until.Load()
 }
 
 // Open returns the number of slots of steps that wait for a host.
@@ -206,7 +209,7 @@
 	k.cfg.Table.SetShares(sharesOf(g.Shares), suspectsOf(q))
 	k.view.Store(v)
 	k.open.Store(int64(g.Openslots))
-	k.until.Store(k.holder.Until.UnixNano())
+	k.until.Store(int64(k.holder.Until.Sub(k.started)))
 	if _, held := k.View(); held {
 		k.cfg.Changed(v, true)
 	}
--- a/pkg/process/ledger/ledger_test.go
+++ b/pkg/process/ledger/ledger_test.go
@@ -293,3 +293,19 @@
 		t.Errorf("reported %d, next is %d", l.Usage.Reported, l.Usage.Pending[0].Number)
 	}
 }
+
+// BenchmarkSave encodes a state with the samples of eight steps of 1,024, which
+// happens on the control goroutine.
+func BenchmarkSave(b *testing.B) {
+	l := New()
+	for i := range uint64(8) {
+		s := &Step{Open: Open{Rollout: fmt.Sprint("r", i), Number: 1, Samples: 8}, Slots: make([]Slot, 1024)}
+		for j := range s.Slots {
+			s.Slots[j].Sample = &Sample{Text: string(bytes.Repeat([]byte("x"), 4096)), Spans: []Span{{1, 0, 64}}}
+		}
+		l.Steps[StepKey(s.Rollout, 1)] = s
+	}
+	for b.Loop() {
+		b.SetBytes(int64(len(l.Save())))
+	}
+}
--- a/pkg/process/settings/settings.go
+++ b/pkg/process/settings/settings.go
@@ -226,41 +226,41 @@
 }
 
 func (c *Control) check() error {
-	return first(
+	return strictjson.First(
 		address("listen", c.Listen),
 		addresses("control", c.Control),
-		require("control", slices.Contains(c.Control, c.Listen), "must contain the address of \"listen\""),
+		strictjson.Require("control", slices.Contains(c.Control, c.Listen), "must contain the address of \"listen\""),
 		optional("metrics", c.Metrics),
-		require("zone", c.Zone != "", "is missing"),
-		require("data", c.Data != "", "is missing"),
-		require("grant", between(c.Grant, time.Second, time.Minute), "must be 1s to 1m"),
-		require("window", between(c.Window, 100*time.Millisecond, 24*time.Hour), "must be 100ms to 24h"),
-		require("claim", between(c.Claim, time.Second, time.Hour), "must be 1s to 1h"),
-		require("swap", between(c.Swap, 100*time.Millisecond, time.Hour), "must be 100ms to 1h"),
-		require("wave", c.Wave > 0 && c.Wave <= 1, "must be above 0 and at most 1"),
-		require("hedge", c.Hedge >= 0 && c.Hedge <= 1, "must be 0 to 1"),
-		require("headroom", c.Headroom >= 0 && c.Headroom <= 10, "must be 0 to 10"),
-		require("snapshot", c.Snapshot > 0, "must be 1 or more"),
+		strictjson.Require("zone", c.Zone != "", "is missing"),
+		strictjson.Require("data", c.Data != "", "is missing"),
+		strictjson.Require("grant", between(c.Grant, time.Second, time.Minute), "must be 1s to 1m"),
+		strictjson.Require("window", between(c.Window, 100*time.Millisecond, 24*time.Hour), "must be 100ms to 24h"),
+		strictjson.Require("claim", between(c.Claim, time.Second, time.Hour), "must be 1s to 1h"),
+		strictjson.Require("swap", between(c.Swap, 100*time.Millisecond, time.Hour), "must be 100ms to 1h"),
+		strictjson.Require("wave", c.Wave > 0 && c.Wave <= 1, "must be above 0 and at most 1"),
+		strictjson.Require("hedge", c.Hedge >= 0 && c.Hedge <= 1, "must be 0 to 1"),
+		strictjson.Require("headroom", c.Headroom >= 0 && c.Headroom <= 10, "must be 0 to 10"),
+		strictjson.Require("snapshot", c.Snapshot > 0, "must be 1 or more"),
 		c.TLS.check("tls", true),
 		c.Logs.check(),
 	)
 }
 
 func (c *Entry) check() error {
-	return first(
-		require("host", c.Host != "", "is missing"),
-		require("zone", c.Zone != "", "is missing"),
+	return strictjson.First(
+		strictjson.Require("host", c.Host != "", "is missing"),
+		strictjson.Require("zone", c.Zone != "", "is missing"),
 		address("callers", c.Callers),
 		address("operators", c.Operators),
 		address("backends", c.Backends),
 		addresses("control", c.Control),
-		require("operator", len(c.Operator) == 64, "must be the SHA-256 of the operators' token in hex"),
-		require("announce", len(c.Announce) == 64, "must be the SHA-256 of the backend servers' token in hex"),
-		require("renew", between(c.Renew, 50*time.Millisecond, 10*time.Second), "must be 50ms to 10s"),
-		require("workers", c.Workers >= 0, "must not be negative"),
+		strictjson.Require("operator", len(c.Operator) == 64, "must be the SHA-256 of the operators' token in hex"),
+		strictjson.Require("announce", len(c.Announce) == 64, "must be the SHA-256 of the backend servers' token in hex"),
+		strictjson.Require("renew", between(c.Renew, 50*time.Millisecond, 10*time.Second), "must be 50ms to 10s"),
+		strictjson.Require("workers", c.Workers >= 0, "must not be negative"),
 		c.Limits.check(),
 		strictjson.OneOf("policy.choice", c.Policy.Choice, "least", "robin", "wait"),
-		require("policy.retries", c.Policy.Retries >= 0 && c.Policy.Retries <= 1, "must be 0 to 1"),
+		strictjson.Require("policy.retries", c.Policy.Retries >= 0 && c.Policy.Retries <= 1, "must be 0 to 1"),
 		c.TLS.check("tls", true),
 		c.CallerTLS.check("callertls", false),
 		c.Logs.check(),
@@ -268,12 +268,12 @@
 }
 
 func (l Limits) check() error {
-	return first(
-		require("limits.body", l.Body > 0, "must be 1 or more bytes"),
-		require("limits.header", l.Header >= 1024, "must be 1024 or more bytes"),
-		require("limits.answer", l.Answer > 0, "must be 1 or more bytes"),
-		require("limits.connections", l.Connections > 0, "must be 1 or more"),
-		require("limits.queue", l.Queue > 0, "must be 1 or more"),
+	return strictjson.First(
+		strictjson.Require("limits.body", l.Body > 0, "must be 1 or more bytes"),
+		strictjson.Require("limits.header", l.Header >= 1024, "must be 1024 or more bytes"),
+		strictjson.Require("limits.answer", l.Answer > 0, "must be 1 or more bytes"),
+		strictjson.Require("limits.connections", l.Connections > 0, "must be 1 or more"),
+		strictjson.Require("limits.queue", l.Queue > 0, "must be 1 or more"),
 	)
 }
 
@@ -283,12 +283,12 @@
 
 func (t TLS) check(field string, mutual bool) error {
 	if t.Off {
-		return require(field+".off", t.Cert == "" && t.Key == "" && t.CA == "", "can not stand beside certificate files")
+		return strictjson.Require(field+".off", t.Cert == "" && t.Key == "" && t.CA == "", "can not stand beside certificate files")
 	}
-	return first(
-		require(field+".cert", t.Cert != "", "is missing (or set \"off\" to true on loopback)"),
-		require(field+".key", t.Key != "", "is missing"),
-		require(field+".ca", t.CA != "" || !mutual, "is missing"),
+	return strictjson.First(
+		strictjson.Require(field+".cert", t.Cert != "", "is missing (or set \"off\" to true on loopback)"),
+		strictjson.Require(field+".key", t.Key != "", "is missing"),
+		strictjson.Require(field+".ca", t.CA != "" || !mutual, "is missing"),
 	)
 }
 
@@ -317,21 +317,5 @@
 			return err
 		}
 	}
-	return require(field, len(values) > 0, "must list at least one address")
-}
-
-func require(field string, ok bool, problem string) error {
-	if ok {
-		return nil
-	}
-	return &strictjson.FieldError{Field: field, Problem: problem}
-}
-
-func first(all ...error) error {
-	for _, err := range all {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	return strictjson.Require(field, len(values) > 0, "must list at least one address")
 }
--- a/pkg/version/record/record.go
+++ b/pkg/version/record/record.go
@@ -227,9 +227,9 @@
 	if err := strictjson.Decode(raw, &w); err != nil {
 		return err
 	}
-	return errFirst(
-		require("weight", w.Weight > 0 && w.Weight <= 1000, "must be above 0 and at most 1000"),
-		require("deadline", w.Deadline >= 0 && w.Deadline <= 3_600_000, "must be 0 to 3600000 milliseconds"),
+	return strictjson.First(
+		strictjson.Require("weight", w.Weight > 0 && w.Weight <= 1000, "must be above 0 and at most 1000"),
+		strictjson.Require("deadline", w.Deadline >= 0 && w.Deadline <= 3_600_000, "must be 0 to 3600000 milliseconds"),
 	)
 }
 
@@ -240,9 +240,9 @@
 	if err := strictjson.Decode(raw, &k); err != nil {
 		return err
 	}
-	return errFirst(
-		require("workspace", namePattern.MatchString(k.Workspace), "must name a workspace"),
-		require("hash", hashPattern.MatchString(k.Hash), "must be 64 lower-case hex digits"),
+	return strictjson.First(
+		strictjson.Require("workspace", namePattern.MatchString(k.Workspace), "must name a workspace"),
+		strictjson.Require("hash", hashPattern.MatchString(k.Hash), "must be 64 lower-case hex digits"),
 	)
 }
 
@@ -256,10 +256,10 @@
 			return &strictjson.FieldError{Field: "least." + pool, Problem: "must be 0 or more and at most \"most\""}
 		}
 	}
-	return errFirst(
+	return strictjson.First(
 		strictjson.OneOf("state", z.State, "in", "out"),
-		require("price", z.Price >= 0, "must not be negative"),
-		require("cheap", z.Cheap >= 0 && z.Cheap <= 1, "must be 0 to 1"),
+		strictjson.Require("price", z.Price >= 0, "must not be negative"),
+		strictjson.Require("cheap", z.Cheap >= 0 && z.Cheap <= 1, "must be 0 to 1"),
 	)
 }
 
@@ -268,10 +268,10 @@
 	if err := strictjson.Decode(raw, &r); err != nil {
 		return err
 	}
-	return errFirst(
-		require("workspace", namePattern.MatchString(r.Workspace), "must name a workspace"),
-		require("pool", namePattern.MatchString(r.Pool), "must name a pool"),
-		require("tokens", r.Tokens > 0 && r.Tokens <= 1_000_000, "must be 1 to 1000000"),
+	return strictjson.First(
+		strictjson.Require("workspace", namePattern.MatchString(r.Workspace), "must name a workspace"),
+		strictjson.Require("pool", namePattern.MatchString(r.Pool), "must name a pool"),
+		strictjson.Require("tokens", r.Tokens > 0 && r.Tokens <= 1_000_000, "must be 1 to 1000000"),
 	)
 }
 
@@ -287,26 +287,10 @@
 			return &strictjson.FieldError{Field: "idempotent", Problem: fmt.Sprintf("has the value %q", m), Allowed: methods}
 		}
 	}
-	return errFirst(
-		require("prefix", len(r.Prefix) > 1 && r.Prefix[0] == '/' && r.Prefix[len(r.Prefix)-1] == '/', "must start and end with \"/\""),
-		require("prefix", len(r.Prefix) < 4 || r.Prefix[:4] != "/v1/", "must not lie under \"/v1/\""),
-		require("pool", namePattern.MatchString(r.Pool), "must name a pool"),
-		require("timeout", r.Timeout >= 0 && r.Timeout <= 3_600_000, "must be 0 to 3600000 milliseconds"),
+	return strictjson.First(
+		strictjson.Require("prefix", len(r.Prefix) > 1 && r.Prefix[0] == '/' && r.Prefix[len(r.Prefix)-1] == '/', "must start and end with \"/\""),
+		strictjson.Require("prefix", len(r.Prefix) < 4 || r.Prefix[:4] != "/v1/", "must not lie under \"/v1/\""),
+		strictjson.Require("pool", namePattern.MatchString(r.Pool), "must name a pool"),
+		strictjson.Require("timeout", r.Timeout >= 0 && r.Timeout <= 3_600_000, "must be 0 to 3600000 milliseconds"),
 	)
 }
-
-func require(field string, ok bool, problem string) error {
-	if ok {
-		return nil
-	}
-	return &strictjson.FieldError{Field: field, Problem: problem}
-}
-
-func errFirst(all ...error) error {
-	for _, err := range all {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/pkg/version/strictjson/strictjson.go
+++ b/pkg/version/strictjson/strictjson.go
@@ -157,3 +157,21 @@
 	return &FieldError{Field: field, Problem: fmt.Sprintf("has the value %q", value),
 		Allowed: allowed, Hint: nearest(value, allowed)}
 }
+
+// Require returns a *FieldError unless ok holds.
+func Require(field string, ok bool, problem string) error {
+	if ok {
+		return nil
+	}
+	return &FieldError{Field: field, Problem: problem}
+}
+
+// First returns the first error that is not nil.
+func First(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
