--- a/cmd/plantainbank/cmds/cmds_test.go
+++ b/cmd/plantainbank/cmds/cmds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/plantainbank/plantainbank/pkg/process/disk"
 	"github.com/plantainbank/plantainbank/pkg/process/settings"
 )
 
@@ -93,3 +95,37 @@
 		t.Error("served without TLS")
 	}
 }
+
+// TestStartErrors starts processes that can not run: one clear line each, a
+// non-zero exit code, and nothing is damaged.
+func TestStartErrors(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	taken := lis.Addr().String()
+	locked := filepath.Join(t.TempDir(), "locked")
+	held, _, err := disk.Open(locked, disk.RealFiles())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	for _, c := range []struct{ name, data, line string }{
+		{"port in use", filepath.Join(t.TempDir(), "data"), "can not listen on " + taken},
+		{"folder locked", locked, "data folder " + locked + " is in use by another process"},
+	} {
+		file := filepath.Join(t.TempDir(), "control.json")
+		text := fmt.Sprintf(`{"listen":%q,"control":[%q],"zone":"z","data":%q,"tls":{"off":true},"logs":{"level":"error"}}`, taken, taken, c.data)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var errs bytes.Buffer
+		if code := Main([]string{"control", file}, io.Discard, &errs); code != exitFailed || !strings.Contains(errs.String(), c.line) || strings.Count(errs.String(), "\n") != 1 {
+			t.Errorf("%s: exit %d, %s", c.name, code, errs.String())
+		}
+		if _, err := disk.Read(c.data); err != nil {
+			t.Errorf("%s: the folder is damaged: %v", c.name, err)
+		}
+	}
+}
--- a/cmd/plantainbank/cmds/status.go
+++ b/cmd/plantainbank/cmds/status.go
@@ -15,7 +15,7 @@
 	var asJSON bool
 	return command{
 		path:    "status",
-		help:    "Show leader, replicas, entry hosts, availability zones and backend servers.",
+		help:    "Show leader, replicas, entry hosts, availability zones, workspaces and backend servers.",
 		options: c.options(option{name: "json", help: "Print JSON.", on: &asJSON}),
 		run: func(env *env) error {
 			s, err := getStatus(c)
@@ -49,6 +49,9 @@
 	for _, z := range s.Zones {
 		fmt.Fprintf(w, "zone\t%s\t%s\t%d ordered\t%d backend servers\n", z.Zone, z.State, z.Ordered, z.Backends)
 	}
+	for _, x := range s.Workspaces {
+		fmt.Fprintf(w, "workspace\t%s\tweight %g\t%.1f running or waiting\n", x.Workspace, x.Weight, x.Demand)
+	}
 	for _, b := range s.Backends {
 		a := b.Announced
 		fmt.Fprintf(w, "backend\t%s\t%s\t%s\tlimit %d of %d\t%d running\t%s\n", a.Id, a.Zone, a.Pool, b.Limit, a.Bears,
--- a/pkg/process/control/records.go
+++ b/pkg/process/control/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -146,6 +147,23 @@
 	}
 	slices.SortFunc(out.Backends, func(a, b *pb.Backend) int { return strings.Compare(a.Announced.Id, b.Announced.Id) })
 	s.fillZones(out)
+	s.fillWorkspaces(out, now)
+}
+
+func (s *Server) fillWorkspaces(out *pb.StatusAnswer, now time.Time) {
+	demand := map[string]float64{}
+	for name, h := range s.reign.hosts {
+		if !s.reign.leases.Live(name, now) {
+			continue
+		}
+		for k, amount := range h.demand {
+			demand[k.workspace] += amount
+		}
+	}
+	weights := s.decoded().weights
+	for _, name := range slices.Sorted(maps.Keys(weights)) {
+		out.Workspaces = append(out.Workspaces, &pb.Workspace{Workspace: name, Weight: weights[name], Demand: demand[name]})
+	}
 }
 
 func (s *Server) fillZones(out *pb.StatusAnswer) {
--- a/pkg/process/metrics/metrics.go
+++ b/pkg/process/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -23,7 +24,8 @@
 
 // New returns the metrics of one process.
 func New(role string) *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "plantainbank_" + role,
 		CachedReporter:  reporter,
