Order the least of a pool that nobody serves yet

Cause: the measurement of spending got no first engine. Orders were planned only for pools with demand or announced servers, and callers of a pool without servers are refused at once, so it would never have started. Change: pools that zones name are planned for too. The new test fails before (no orders) and passes after. Ruled out: the platform stand-in, which got no order.

--- a/pkg/process/control/reign_test.go
+++ b/pkg/process/control/reign_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/plantainbank/plantainbank/pkg/process/fleet"
 	"github.com/plantainbank/plantainbank/pkg/process/ledger"
+	"github.com/plantainbank/plantainbank/pkg/version/record"
 	pb "github.com/plantainbank/plantainbank/service/control"
 )
 
@@ -117,6 +119,18 @@
 	}
 }
 
+// TestLeastIsOrderedForAPoolWithoutServers plans for a zone that names a pool
+// which nobody has announced or asked for yet.
+func TestLeastIsOrderedForAPoolWithoutServers(t *testing.T) {
+	s := &Server{reign: newReign(1, time.Now(), 3*time.Second), ledger: ledger.New()}
+	s.ledger.Records["zone/z"] = record.Record{Kind: "zone", Name: "z", Schema: 2,
+		Spec: []byte(`{"state":"in","least":{"p":2},"most":{"p":4}}`)}
+	orders := fleet.New(0.25, time.Second, time.Second).Plan(s.fleetDemand(), s.fleetZones(), nil, time.Now())
+	if len(orders) != 1 || orders[0].Pool != "p" || orders[0].Steady != 2 {
+		t.Fatalf("orders are %+v", orders)
+	}
+}
+
 func TestNewReignWaitsForOldLeases(t *testing.T) {
 	r := newReign(1, began, 3*time.Second)
 	if r.settled(began.Add(3 * time.Second)) {
--- a/pkg/process/control/servers.go
+++ b/pkg/process/control/servers.go
@@ -96,10 +96,16 @@
 	return out
 }
 
-// fleetDemand sums the demand of every pool over the live hosts.
+// fleetDemand sums the demand of every pool over the live hosts. Pools that
+// zones name are listed without demand too, so that their least is ordered.
 func (s *Server) fleetDemand() []fleet.Demand {
 	now := time.Now()
 	amounts := map[string]float64{}
+	for _, z := range s.fleetZones() {
+		for pool := range z.Most {
+			amounts[pool] = 0
+		}
+	}
 	for name, h := range s.reign.hosts {
 		if !s.reign.leases.Live(name, now) {
 			continue
