Use the field's terms for leadership, idle time-out and scale-down delay

Cause: reading as a newcomer; three names were metaphors or needed an explanation. The packages' tests pass.

--- a/internal/measure/capacity.go
+++ b/internal/measure/capacity.go
@@ -37,7 +37,7 @@
 	number int
 }
 
-// settle is the time after which the first reign has published its table.
+// settle is the time after which the first leader has published its table.
 const settle = 4 * time.Second
 
 // group starts three control processes.
--- a/pkg/connection/backendserver/table.go
+++ b/pkg/connection/backendserver/table.go
@@ -23,7 +23,7 @@
 	// Versions holds the weight version of each rollout that is loaded.
 	Versions map[string]uint64
 	Leaving  bool
-	// Running is the server's own word, which lags behind.
+	// Running is what the server reports; it lags behind.
 	Running int
 	// Limit is the total of all hosts' shares.
 	Limit int
--- a/pkg/process/control/backends.go
+++ b/pkg/process/control/backends.go
@@ -21,8 +21,8 @@
 	swap swap
 }
 
-// announce takes in a backend server's word, passed on by an entry host.
-func (r *reign) announce(a *pb.Announcement, now time.Time) {
+// announce takes in an announcement that an entry host passes on.
+func (r *leadership) announce(a *pb.Announcement, now time.Time) {
 	b := r.backends[a.Id]
 	if b != nil && (a.Incarnation < b.announced.Incarnation ||
 		a.Incarnation == b.announced.Incarnation && a.Seq <= b.announced.Seq) {
@@ -55,7 +55,7 @@
 const suspectSeqs = 2
 
 // suspect notes the servers that a host lost a connection to.
-func (r *reign) suspect(host string, holdings []*pb.Holding) {
+func (r *leadership) suspect(host string, holdings []*pb.Holding) {
 	for _, h := range holdings {
 		b := r.backends[h.Backend]
 		if !h.Suspect || b == nil || b.announced.Incarnation != h.Incarnation {
@@ -78,7 +78,7 @@
 }
 
 // observe adds the outcomes that a host counted since its last report.
-func (r *reign) observe(h *host, outcomes []*pb.Outcome) {
+func (r *leadership) observe(h *host, outcomes []*pb.Outcome) {
 	for _, o := range outcomes {
 		now := ramp.Counts{Served: o.Served, Refused: o.Refused, Failed: o.Failed}
 		before, known := h.outcomes[o.Backend]
@@ -98,7 +98,7 @@
 }
 
 // adopt takes over the limits that a host knows from an earlier leader.
-func (r *reign) adopt(holdings []*pb.Holding, now time.Time) {
+func (r *leadership) adopt(holdings []*pb.Holding, now time.Time) {
 	if r.settled(now) {
 		return
 	}
--- a/pkg/process/control/claims.go
+++ b/pkg/process/control/claims.go
@@ -25,7 +25,7 @@
 	hedged  bool
 }
 
-func (r *reign) releaseClaims(host string) {
+func (r *leadership) releaseClaims(host string) {
 	for k, c := range r.claims {
 		if c.host == host {
 			delete(r.claims, k)
@@ -39,7 +39,7 @@
 	for _, step := range s.ledger.Steps {
 		n += len(step.Slots) - step.Filled()
 	}
-	return max(0, n-len(s.reign.claims))
+	return max(0, n-len(s.leadership.claims))
 }
 
 // Claim leases slots to an entry host.
@@ -47,7 +47,7 @@
 	out := &pb.Claims{}
 	err := s.await(ctx, time.Duration(q.Waitms)*time.Millisecond, func() (bool, error) {
 		now := time.Now()
-		if !s.reign.leases.Live(q.Host, now) {
+		if !s.leadership.leases.Live(q.Host, now) {
 			return true, nil
 		}
 		out.Claims = s.claim(q.Host, int(q.Most), now)
@@ -61,13 +61,13 @@
 	queues := s.openSteps()
 	var out []*pb.Claim
 	for i := range queues {
-		steps := queues[(i+s.reign.turn)%len(queues)]
+		steps := queues[(i+s.leadership.turn)%len(queues)]
 		part := (most-len(out)-1)/(len(queues)-i) + 1
 		for _, step := range steps {
 			out = append(out, s.claimSlots(step, host, min(part, most-len(out)), now)...)
 		}
 	}
-	s.reign.turn++
+	s.leadership.turn++
 	return out
 }
 
@@ -106,10 +106,10 @@
 			continue
 		}
 		k := claimKey{key, i}
-		if c := s.reign.claims[k]; c != nil && now.Before(c.until) && c.attempt == slot.Attempt {
+		if c := s.leadership.claims[k]; c != nil && now.Before(c.until) && c.attempt == slot.Attempt {
 			continue
 		}
-		s.reign.claims[k] = &claim{host: host, attempt: slot.Attempt, start: now, until: now.Add(time.Duration(s.cfg.Claim))}
+		s.leadership.claims[k] = &claim{host: host, attempt: slot.Attempt, start: now, until: now.Add(time.Duration(s.cfg.Claim))}
 		out = append(out, s.wireClaim(step, i, false))
 	}
 	if len(out) == 0 {
@@ -137,7 +137,7 @@
 	key := ledger.StepKey(step.Rollout, step.Number)
 	var out []*pb.Claim
 	for i := range step.Slots {
-		c := s.reign.claims[claimKey{key, i}]
+		c := s.leadership.claims[claimKey{key, i}]
 		if c == nil || c.hedged || step.Slots[i].Sample != nil || len(out) >= most {
 			continue
 		}
@@ -162,14 +162,14 @@
 // claimed again.
 func (s *Server) finishClaims(q *pb.CommitRequest, now time.Time) {
 	for _, x := range q.Samples {
-		if c := s.reign.claims[claimKey{ledger.StepKey(x.Rollout, x.Number), int(x.Slot)}]; c != nil {
+		if c := s.leadership.claims[claimKey{ledger.StepKey(x.Rollout, x.Number), int(x.Slot)}]; c != nil {
 			s.typical += (now.Sub(c.start) - s.typical) / typicalWindow
 		}
 	}
 	for _, x := range q.Released {
 		k := claimKey{ledger.StepKey(x.Rollout, x.Number), int(x.Slot)}
-		if c := s.reign.claims[k]; c != nil && c.host == q.Host && c.attempt == x.Attempt {
-			delete(s.reign.claims, k)
+		if c := s.leadership.claims[k]; c != nil && c.host == q.Host && c.attempt == x.Attempt {
+			delete(s.leadership.claims, k)
 		}
 	}
 	if len(q.Released) > 0 {
@@ -181,7 +181,7 @@
 // slots would look free and be produced a second time.
 func (s *Server) dropClaims(samples []*pb.Sample) {
 	for _, x := range samples {
-		delete(s.reign.claims, claimKey{ledger.StepKey(x.Rollout, x.Number), int(x.Slot)})
+		delete(s.leadership.claims, claimKey{ledger.StepKey(x.Rollout, x.Number), int(x.Slot)})
 	}
 }
 
--- a/pkg/process/control/control.go
+++ b/pkg/process/control/control.go
@@ -2,7 +2,7 @@
 // leader the duties that only one process may carry out.
 //
 // All control state is owned by the goroutine of the quorum node. Requests run
-// on it through Server.do. State of one term of leadership lives in a reign;
+// on it through Server.do. State of one term of leadership lives in a leadership;
 // it is rebuilt from the entry hosts' reports by every new leader.
 package control
 
@@ -30,14 +30,14 @@
 
 // Server is a control process.
 type Server struct {
-	cfg    settings.Control
-	log    *logrus.Entry
-	scope  tally.Scope
-	disk   *disk.Disk
-	node   *quorum.Node
-	ledger *ledger.Ledger
-	reign  *reign
-	peers  *transport
+	cfg        settings.Control
+	log        *logrus.Entry
+	scope      tally.Scope
+	disk       *disk.Disk
+	node       *quorum.Node
+	ledger     *ledger.Ledger
+	leadership *leadership
+	peers      *transport
 	// changed is closed and replaced whenever waiting requests should look
 	// again.
 	changed chan struct{}
@@ -60,8 +60,8 @@
 
 // Periods of the fleet's planner.
 const (
-	fleetPatience = 20 * time.Second
-	fleetShort    = 10 * time.Second
+	fleetScaleDownDelay = 20 * time.Second
+	fleetShort          = 10 * time.Second
 )
 
 // Options holds what New needs besides the settings.
@@ -84,7 +84,7 @@
 	}
 	s := &Server{cfg: cfg, log: o.Log, scope: o.Scope, disk: d, page: o.Page, ledger: ledger.New(),
 		changed: make(chan struct{}), timing: o.Timing,
-		fleet: fleet.New(cfg.Headroom, fleetPatience, fleetShort)}
+		fleet: fleet.New(cfg.Headroom, fleetScaleDownDelay, fleetShort)}
 	persisted, err := decodeSaved(saved)
 	if err != nil {
 		d.Close()
@@ -221,20 +221,20 @@
 	return nil
 }
 
-// roleChanged starts or ends a reign. It runs on the control goroutine, but
+// roleChanged starts or ends a leadership. It runs on the control goroutine, but
 // for its first call, which New makes.
 func (s *Server) roleChanged(st quorum.Status) {
 	s.log.WithFields(logrus.Fields{"role_in_term": st.Role.String(), "term": st.Term, "leader": st.LeaderAddr}).
 		Info("role changed")
 	s.scope.Gauge("term").Update(float64(st.Term))
 	if st.Role != quorum.Leader {
-		s.reign = nil
+		s.leadership = nil
 		s.chargeFrom.Store(nil)
 		return
 	}
-	if s.reign == nil || s.reign.term != st.Term {
+	if s.leadership == nil || s.leadership.term != st.Term {
 		now := time.Now()
-		s.reign = newReign(st.Term, now, time.Duration(s.cfg.Grant))
+		s.leadership = newLeadership(st.Term, now, time.Duration(s.cfg.Grant))
 		from := now.Add(s.timing.Lease)
 		s.chargeFrom.Store(&from)
 	}
--- a/pkg/process/control/demand.go
+++ b/pkg/process/control/demand.go
@@ -48,7 +48,7 @@
 // retarget computes the wanted share of every host at every backend server:
 // workspaces get their fair part of each pool, and hosts get what their
 // workspaces' parts add up to.
-func (r *reign) retarget(weights map[string]float64, now time.Time) {
+func (r *leadership) retarget(weights map[string]float64, now time.Time) {
 	pools := map[string][]string{}
 	for id, b := range r.backends {
 		pools[b.announced.Pool] = append(pools[b.announced.Pool], id)
@@ -65,7 +65,7 @@
 	}
 }
 
-func (r *reign) capacity(ids []string) float64 {
+func (r *leadership) capacity(ids []string) float64 {
 	sum := 0
 	for _, id := range ids {
 		sum += r.backends[id].ramp.Limit
@@ -74,7 +74,7 @@
 }
 
 // hostClaims returns each live host's weight in a pool.
-func (r *reign) hostClaims(pool string, capacity float64, weights map[string]float64, now time.Time) []share.Claim {
+func (r *leadership) hostClaims(pool string, capacity float64, weights map[string]float64, now time.Time) []share.Claim {
 	demand := map[string]float64{}
 	byHost := map[string]map[string]float64{}
 	live := 0
--- a/pkg/process/control/reign.go
+++ b/pkg/process/control/leadership.go
@@ -9,7 +9,7 @@
 	"github.com/plantainbank/plantainbank/pkg/process/share"
 )
 
-// Periods of a reign.
+// Periods of a leadership.
 const (
 	// grantAllowance covers clock drift between an entry host and the leader.
 	grantAllowance = 200 * time.Millisecond
@@ -20,17 +20,17 @@
 	idleWeight = 0.3
 )
 
-// reign is what a leader knows in one term beyond the ledger: leases, backend
+// leadership is what a leader knows in one term beyond the ledger: leases, backend
 // servers, shares and claims. Entry hosts report enough to rebuild it.
-type reign struct {
+type leadership struct {
 	term uint64
-	// since is the start of the reign.
+	// since is the start of the leadership.
 	since  time.Time
 	leases *lease.Table[string]
 	hosts  map[string]*host
 	shares *share.Allocator
 	// table counts the changes of backends. It starts above the numbers of
-	// earlier reigns.
+	// earlier leaderships.
 	table    uint64
 	backends map[string]*backend
 	// targets holds the wanted share by backend server and host.
@@ -57,8 +57,8 @@
 	leaving  bool
 }
 
-func newReign(term uint64, now time.Time, grant time.Duration) *reign {
-	return &reign{
+func newLeadership(term uint64, now time.Time, grant time.Duration) *leadership {
+	return &leadership{
 		term: term, since: now, table: term << 32,
 		leases:   lease.NewTable[string](grant, grantAllowance),
 		hosts:    map[string]*host{},
@@ -72,13 +72,13 @@
 
 // settled reports whether every lease of an earlier leader has ended, so that
 // hosts which have not reported hold nothing.
-func (r *reign) settled(now time.Time) bool {
+func (r *leadership) settled(now time.Time) bool {
 	return now.Sub(r.since) > r.leases.Period+r.leases.Allowance
 }
 
 // expire drops the hosts whose lease has ended and the backend servers that
 // fell silent. It returns whether anything changed.
-func (r *reign) expire(now time.Time) bool {
+func (r *leadership) expire(now time.Time) bool {
 	changed := false
 	for _, name := range r.leases.Expire(now) {
 		r.shares.Drop(name)
@@ -99,9 +99,9 @@
 	return changed
 }
 
-// maintainReign runs the periodic work of a leader on the control goroutine.
-func (s *Server) maintainReign() {
-	r := s.reign
+// maintainLeadership runs the periodic work of a leader on the control goroutine.
+func (s *Server) maintainLeadership() {
+	r := s.leadership
 	if r == nil {
 		return
 	}
--- a/pkg/process/control/reign_test.go
+++ b/pkg/process/control/leadership_test.go
@@ -16,9 +16,9 @@
 	return &pb.Announcement{Id: id, Incarnation: incarnation, Seq: seq, Zone: "z", Pool: "p", Bears: 8}
 }
 
-// TestSuspectServerWaitsForNewWord breaks a host's connection to a server: the
+// TestSuspectServerWaitsForAnnouncements breaks a host's connection to a server: the
 // host gets no share until the server is surely alive or known to be fresh.
-func TestSuspectServerWaitsForNewWord(t *testing.T) {
+func TestSuspectServerWaitsForAnnouncements(t *testing.T) {
 	for _, c := range []struct {
 		name      string
 		words     []*pb.Announcement
@@ -31,7 +31,7 @@
 		{"started again", []*pb.Announcement{word("s", 2, 1)}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			r := newReign(1, began, 3*time.Second)
+			r := newLeadership(1, began, 3*time.Second)
 			r.announce(word("s", 1, 5), began)
 			r.suspect("h", []*pb.Holding{{Backend: "s", Incarnation: 1, Suspect: true}})
 			for _, w := range c.words {
@@ -52,7 +52,7 @@
 }
 
 func TestSilentServersLeaveTheTable(t *testing.T) {
-	r := newReign(1, began, 3*time.Second)
+	r := newLeadership(1, began, 3*time.Second)
 	r.announce(word("s", 1, 1), began)
 	table := r.table
 	r.expire(began.Add(backendTTL))
@@ -74,7 +74,7 @@
 // TestTargetsFollowFairDemand floods through one host: the hosts of the other
 // workspaces keep what their fair part adds up to.
 func TestTargetsFollowFairDemand(t *testing.T) {
-	r := newReign(1, began, 3*time.Second)
+	r := newLeadership(1, began, 3*time.Second)
 	for _, id := range []string{"s1", "s2"} {
 		r.announce(word(id, 1, 1), began)
 		r.backends[id].ramp.Limit = 8
@@ -106,8 +106,8 @@
 // TestSharesOutliveTheLeader reports holdings to a new leader that has not heard
 // of any server yet: the host keeps them.
 func TestSharesOutliveTheLeader(t *testing.T) {
-	s := &Server{reign: newReign(2, time.Now(), 3*time.Second), ledger: ledger.New()}
-	s.reign.announce(word("restarted", 2, 1), time.Now())
+	s := &Server{leadership: newLeadership(2, time.Now(), 3*time.Second), ledger: ledger.New()}
+	s.leadership.announce(word("restarted", 2, 1), time.Now())
 	q := &pb.RenewRequest{Host: "h", Holdings: []*pb.Holding{
 		{Backend: "unheard", Share: 3, Incarnation: 1, Limit: 8},
 		{Backend: "restarted", Share: 2, Incarnation: 1, Limit: 8},
@@ -122,7 +122,7 @@
 // TestLeastIsOrderedForAPoolWithoutServers plans for a zone that names a pool
 // which nobody has announced or asked for yet.
 func TestLeastIsOrderedForAPoolWithoutServers(t *testing.T) {
-	s := &Server{reign: newReign(1, time.Now(), 3*time.Second), ledger: ledger.New()}
+	s := &Server{leadership: newLeadership(1, time.Now(), 3*time.Second), ledger: ledger.New()}
 	s.ledger.Records["zone/z"] = record.Record{Kind: "zone", Name: "z", Schema: 2,
 		Spec: []byte(`{"state":"in","least":{"p":2},"most":{"p":4}}`)}
 	orders := fleet.New(0.25, time.Second, time.Second).Plan(s.fleetDemand(), s.fleetZones(), nil, time.Now())
@@ -131,8 +131,8 @@
 	}
 }
 
-func TestNewReignWaitsForOldLeases(t *testing.T) {
-	r := newReign(1, began, 3*time.Second)
+func TestNewLeadershipWaitsForOldLeases(t *testing.T) {
+	r := newLeadership(1, began, 3*time.Second)
 	if r.settled(began.Add(3 * time.Second)) {
 		t.Fatal("settled while a lease of the former leader may run")
 	}
--- a/pkg/process/control/membership.go
+++ b/pkg/process/control/membership.go
@@ -138,7 +138,7 @@
 		}
 		if s.leading() == nil {
 			s.maintainMembers(ctx)
-			_ = s.do(ctx, s.maintainReign)
+			_ = s.do(ctx, s.maintainLeadership)
 		}
 	}
 }
--- a/pkg/process/control/records.go
+++ b/pkg/process/control/records.go
@@ -99,7 +99,7 @@
 
 // waitingFor lists the hosts that may still act on an older revision.
 func (s *Server) waitingFor(revision uint64, now time.Time) []string {
-	r := s.reign
+	r := s.leadership
 	var out []string
 	if !r.settled(now) {
 		out = append(out, "hosts of the former leader")
@@ -137,12 +137,12 @@
 		out.Replicas = append(out.Replicas, &pb.Replica{Id: uint64(m.ID), Addr: m.Addr, Learner: m.Learner,
 			Match: match, Leader: m.ID == st.ID})
 	}
-	for name, h := range s.reign.hosts {
+	for name, h := range s.leadership.hosts {
 		out.Hosts = append(out.Hosts, &pb.Host{Host: name, Zone: h.zone, Revision: h.revision,
-			Incarnation: h.incarnation, Live: s.reign.leases.Live(name, now)})
+			Incarnation: h.incarnation, Live: s.leadership.leases.Live(name, now)})
 	}
 	slices.SortFunc(out.Hosts, func(a, b *pb.Host) int { return strings.Compare(a.Host, b.Host) })
-	for _, b := range s.reign.backends {
+	for _, b := range s.leadership.backends {
 		out.Backends = append(out.Backends, &pb.Backend{Announced: b.announced, Limit: uint32(b.ramp.Limit)})
 	}
 	slices.SortFunc(out.Backends, func(a, b *pb.Backend) int { return strings.Compare(a.Announced.Id, b.Announced.Id) })
@@ -152,8 +152,8 @@
 
 func (s *Server) fillWorkspaces(out *pb.StatusAnswer, now time.Time) {
 	demand := map[string]float64{}
-	for name, h := range s.reign.hosts {
-		if !s.reign.leases.Live(name, now) {
+	for name, h := range s.leadership.hosts {
+		if !s.leadership.leases.Live(name, now) {
 			continue
 		}
 		for k, amount := range h.demand {
@@ -178,7 +178,7 @@
 				z.Number = max(z.Number, o.Number)
 			}
 		}
-		for _, b := range s.reign.backends {
+		for _, b := range s.leadership.backends {
 			if b.announced.Zone == r.Name {
 				z.Backends++
 			}
--- a/pkg/process/control/renew.go
+++ b/pkg/process/control/renew.go
@@ -56,7 +56,7 @@
 		if inner = s.leading(); inner != nil {
 			return
 		}
-		if s.reign == nil {
+		if s.leadership == nil {
 			inner = s.wireError(&quorum.NotLeaderError{})
 			return
 		}
@@ -120,7 +120,7 @@
 
 // report stores what a host says of itself and grants its lease.
 func (s *Server) report(q *pb.RenewRequest, arrived time.Time) error {
-	r := s.reign
+	r := s.leadership
 	h := r.hosts[q.Host]
 	if h == nil || q.Incarnation > h.incarnation {
 		h = &host{name: q.Host, incarnation: q.Incarnation, outcomes: map[string]ramp.Counts{}}
@@ -167,7 +167,7 @@
 
 // news reports whether a host lacks something that the leader knows.
 func (s *Server) news(q *pb.RenewRequest) bool {
-	r := s.reign
+	r := s.leadership
 	if q.Leaving || q.Revision != s.ledger.Revision || q.Term != r.term {
 		return true
 	}
@@ -176,7 +176,7 @@
 
 // grant builds the answer to a renewal.
 func (s *Server) grant(q *pb.RenewRequest, now time.Time) *pb.Grant {
-	r := s.reign
+	r := s.leadership
 	g := &pb.Grant{Term: r.term, Revision: s.ledger.Revision, Table: q.Table,
 		Durationms: uint32(r.leases.Period / time.Millisecond), Openslots: uint32(s.openSlots())}
 	if q.Revision != s.ledger.Revision {
@@ -189,7 +189,7 @@
 	for rollout, version := range s.ledger.Versions {
 		g.Versions = append(g.Versions, &pb.TrainerVersion{Trainer: rollout, Version: version})
 	}
-	// Until the reign is settled the table may lack servers that stand.
+	// Until the leadership is settled the table may lack servers that stand.
 	if r.settled(now) && q.Table != r.table {
 		g.Table, g.Tablesent = r.table, true
 		for _, b := range r.backends {
@@ -200,19 +200,19 @@
 	return g
 }
 
-// grantShares moves a host's shares towards their targets. Before the reign is
+// grantShares moves a host's shares towards their targets. Before the leadership is
 // settled a host keeps what it reports: others may hold the rest.
 func (s *Server) grantShares(q *pb.RenewRequest, now time.Time) []*pb.Share {
-	if !s.reign.settled(now) {
+	if !s.leadership.settled(now) {
 		return s.keepShares(q)
 	}
 	var out []*pb.Share
-	for id, b := range s.reign.backends {
-		want := s.reign.targets[id][q.Host]
+	for id, b := range s.leadership.backends {
+		want := s.leadership.targets[id][q.Host]
 		if s.closed(b, q) {
 			want = 0
 		}
-		if n := s.reign.shares.Grant(q.Host, id, want); n > 0 {
+		if n := s.leadership.shares.Grant(q.Host, id, want); n > 0 {
 			out = append(out, &pb.Share{Backend: id, Share: uint32(n)})
 		}
 	}
@@ -227,7 +227,7 @@
 func (s *Server) keepShares(q *pb.RenewRequest) []*pb.Share {
 	var out []*pb.Share
 	for _, h := range q.Holdings {
-		b := s.reign.backends[h.Backend]
+		b := s.leadership.backends[h.Backend]
 		stale := b != nil && b.announced.Incarnation != h.Incarnation
 		if h.Share == 0 || h.Suspect || stale || (b != nil && s.closed(b, q)) {
 			continue
--- a/pkg/process/control/servers.go
+++ b/pkg/process/control/servers.go
@@ -70,7 +70,7 @@
 func (s *Server) plan(ctx context.Context) {
 	var orders []fleet.Order
 	err := s.onLeader(ctx, func() error {
-		if s.reign.settled(time.Now()) {
+		if s.leadership.settled(time.Now()) {
 			orders = s.fleet.Plan(s.fleetDemand(), s.fleetZones(), s.standing(), time.Now())
 		}
 		return nil
@@ -106,8 +106,8 @@
 			amounts[pool] = 0
 		}
 	}
-	for name, h := range s.reign.hosts {
-		if !s.reign.leases.Live(name, now) {
+	for name, h := range s.leadership.hosts {
+		if !s.leadership.leases.Live(name, now) {
 			continue
 		}
 		for k, amount := range h.demand {
@@ -115,7 +115,7 @@
 		}
 	}
 	bears := map[string]int{}
-	for _, b := range s.reign.backends {
+	for _, b := range s.leadership.backends {
 		bears[b.announced.Pool] = max(bears[b.announced.Pool], b.ramp.Bears)
 		amounts[b.announced.Pool] += 0
 	}
--- a/pkg/process/control/usage.go
+++ b/pkg/process/control/usage.go
@@ -46,11 +46,11 @@
 func (s *Server) dueClose(now time.Time) *ledger.Close {
 	u := &s.ledger.Usage
 	end := now.Truncate(time.Duration(s.cfg.Window)).UnixMilli()
-	if !s.reign.settled(now) || end <= u.Start {
+	if !s.leadership.settled(now) || end <= u.Start {
 		return nil
 	}
 	c := &ledger.Close{Number: u.Next, Start: end - time.Duration(s.cfg.Window).Milliseconds(), End: end, Sources: map[string]map[string]ledger.Counters{}}
-	for name, counters := range s.reign.usage {
+	for name, counters := range s.leadership.usage {
 		c.Sources[name] = counters
 	}
 	return c
@@ -58,5 +58,5 @@
 
 // takeUsage keeps the latest counters of every incarnation.
 func (s *Server) takeUsage(h *host) {
-	s.reign.usage[ledger.SourceName(h.name, h.incarnation)] = h.usage
+	s.leadership.usage[ledger.SourceName(h.name, h.incarnation)] = h.usage
 }
--- a/pkg/process/control/weights.go
+++ b/pkg/process/control/weights.go
@@ -60,10 +60,10 @@
 	}
 	s.scope.Counter("swaps_failed").Inc(1)
 	_ = s.do(ctx, func() {
-		if s.reign == nil {
+		if s.leadership == nil {
 			return
 		}
-		if b := s.reign.backends[o.id]; b != nil {
+		if b := s.leadership.backends[o.id]; b != nil {
 			b.swap = swap{until: time.Now().Add(swapRetry)}
 		}
 	})
@@ -87,7 +87,7 @@
 func (s *Server) waveOf(rollout, pool string, version uint64, now time.Time) []weightOrder {
 	var behind []*backend
 	size, swapping := 0, 0
-	for _, b := range s.reign.backends {
+	for _, b := range s.leadership.backends {
 		a := b.announced
 		if a.Pool != pool || a.Kind != "engine" || a.Leaving {
 			continue
--- a/pkg/process/fleet/fleet.go
+++ b/pkg/process/fleet/fleet.go
@@ -42,8 +42,8 @@
 type Planner struct {
 	// Headroom is the part of the demand that is ordered on top of it.
 	Headroom float64
-	// Patience is how long a lower need must last before less is ordered.
-	Patience time.Duration
+	// ScaleDownDelay is how long a lower need must last before less is ordered.
+	ScaleDownDelay time.Duration
 	// ShortFor is how long a zone that could not deliver is avoided.
 	ShortFor time.Duration
 	peaks    map[string][]peak
@@ -64,7 +64,7 @@
 
 // New returns a planner without history.
 func New(headroom float64, patience, shortFor time.Duration) *Planner {
-	return &Planner{Headroom: headroom, Patience: patience, ShortFor: shortFor,
+	return &Planner{Headroom: headroom, ScaleDownDelay: patience, ShortFor: shortFor,
 		peaks: map[string][]peak{}, short: map[string]shortage{}}
 }
 
@@ -93,12 +93,12 @@
 	return out
 }
 
-// need returns the servers for a demand: the highest need within Patience, so
+// need returns the servers for a demand: the highest need within ScaleDownDelay, so
 // that a short dip orders nothing away.
 func (p *Planner) need(d Demand, now time.Time) int {
 	n := int(math.Ceil(d.Amount * (1 + p.Headroom) / float64(d.Bears)))
 	kept := slices.DeleteFunc(p.peaks[d.Pool], func(x peak) bool {
-		return now.Sub(x.at) > p.Patience || x.need <= n
+		return now.Sub(x.at) > p.ScaleDownDelay || x.need <= n
 	})
 	p.peaks[d.Pool] = append(kept, peak{now, n})
 	return p.peaks[d.Pool][0].need
--- a/pkg/process/grant/keeper.go
+++ b/pkg/process/grant/keeper.go
@@ -27,7 +27,7 @@
 	answerSlack = 700 * time.Millisecond
 	// wakePause bounds the rate of renewals that are made early.
 	wakePause = 30 * time.Millisecond
-	// announcedLongest is the age at which a backend server's word is dropped.
+	// announcedLongest is the age at which an announcement is dropped.
 	announcedLongest = 4 * time.Second
 )
 
@@ -73,7 +73,7 @@
 	woken  bool
 }
 
-// announcement is the latest word of a backend server.
+// announcement is the latest announcement of a backend server.
 type announcement struct {
 	word  *pb.Announcement
 	heard time.Time
@@ -276,7 +276,7 @@
 	}
 }
 
-// Announce takes in a backend server's word.
+// Announce takes in a backend server's announcement.
 func (k *Keeper) Announce(w *pb.Announcement) {
 	k.mu.Lock()
 	old := k.announced[w.Id]
--- a/pkg/process/lease/lease.go
+++ b/pkg/process/lease/lease.go
@@ -50,7 +50,7 @@
 	return ok && now.Before(until)
 }
 
-// Release ends the lease of k at the holder's own word.
+// Release ends the lease of k at the holder's request.
 func (t *Table[K]) Release(k K) { delete(t.until, k) }
 
 // Expire removes and returns the holders whose lease has ended.
--- a/pkg/process/ledger/step.go
+++ b/pkg/process/ledger/step.go
@@ -39,7 +39,7 @@
 // Sample is what an engine produced for a slot.
 type Sample struct {
 	Text string `json:"text"`
-	// Spans cover the whole sample and come from the engine's own word.
+	// Spans cover the whole sample and come from the engine's events.
 	Spans   []Span  `json:"spans"`
 	Backend string  `json:"backend"`
 	Host    string  `json:"host"`
--- a/pkg/process/quorum/core.go
+++ b/pkg/process/quorum/core.go
@@ -65,7 +65,7 @@
 
 	electionDue  time.Time
 	heartbeatDue time.Time
-	// leaderHeard is the time of the latest word from a leader; votes are
+	// leaderHeard is the time of the latest message from a leader; votes are
 	// refused for Timing.Election after it, which is what makes a lease safe.
 	leaderHeard time.Time
 	votes       map[NodeID]bool
--- a/pkg/process/ramp/ramp.go
+++ b/pkg/process/ramp/ramp.go
@@ -26,7 +26,7 @@
 	Incarnation uint64
 	// Limit is at least First and at most Bears.
 	Limit int
-	// Bears is the server's own word.
+	// Bears is what the server announces.
 	Bears int
 	// base is what had been counted when Limit was last changed.
 	base Counts
@@ -37,7 +37,7 @@
 	return &Ramp{Incarnation: incarnation, Limit: min(First, bears), Bears: bears}
 }
 
-// Announce takes in the server's own word. A new incarnation starts afresh.
+// Announce takes in an announcement. A new incarnation starts afresh.
 func (r *Ramp) Announce(incarnation uint64, bears int) {
 	if incarnation > r.Incarnation {
 		*r = *New(incarnation, bears)
--- a/pkg/process/share/allocator.go
+++ b/pkg/process/share/allocator.go
@@ -69,7 +69,7 @@
 	return true
 }
 
-// Report replaces what is known of a holder by its own word.
+// Report replaces what is known of a holder by its report.
 func (a *Allocator) Report(holder string, holdings map[string]Holding) {
 	for name, r := range a.resources {
 		if _, ok := holdings[name]; !ok {
--- a/pkg/request/attempt/attempt.go
+++ b/pkg/request/attempt/attempt.go
@@ -72,8 +72,8 @@
 	br   *bufio.Reader
 	bw   *bufio.Writer
 	used time.Time
-	// quiet bounds each read and write; zero means no bound.
-	quiet time.Duration
+	// idleTimeout bounds each read and write; zero means no bound.
+	idleTimeout time.Duration
 }
 
 // Read reads within the bound.
@@ -93,10 +93,10 @@
 }
 
 func (x *conn) bound() time.Time {
-	if x.quiet == 0 {
+	if x.idleTimeout == 0 {
 		return time.Time{}
 	}
-	return time.Now().Add(x.quiet)
+	return time.Now().Add(x.idleTimeout)
 }
 
 // NewClient returns a client that dials TCP.
@@ -198,8 +198,8 @@
 	Fresh bool
 	// Stream returns once the header is there.
 	Stream bool
-	// Quiet is the longest time without any byte of the answer.
-	Quiet time.Duration
+	// IdleTimeout is the longest time without any byte of the answer.
+	IdleTimeout time.Duration
 	// BodyMost is the largest whole answer in bytes.
 	BodyMost int
 }
@@ -211,7 +211,7 @@
 	if err != nil {
 		return nil, &Error{Phase: "connect", Ran: RanNo, Broken: true, Err: err}
 	}
-	x.quiet = o.Quiet
+	x.idleTimeout = o.IdleTimeout
 	stop := context.AfterFunc(ctx, func() { x.Close() })
 	a, err := c.exchange(x, req, o)
 	if err != nil {
--- a/pkg/request/attempt/attempt_test.go
+++ b/pkg/request/attempt/attempt_test.go
@@ -250,7 +250,7 @@
 // TestSilentServerTimesOut bounds the time without any byte.
 func TestSilentServerTimesOut(t *testing.T) {
 	s := serve(t, func(net.Conn, int) bool { select {} })
-	_, err := NewClient().Do(context.Background(), s.lis.Addr().String(), post("x"), Options{Quiet: 30 * time.Millisecond})
+	_, err := NewClient().Do(context.Background(), s.lis.Addr().String(), post("x"), Options{IdleTimeout: 30 * time.Millisecond})
 	var e *Error
 	if !errors.As(err, &e) || e.Ran != RanUnknown {
 		t.Fatalf("error is %v", err)
--- a/pkg/request/attempt/generate.go
+++ b/pkg/request/attempt/generate.go
@@ -64,8 +64,8 @@
 const (
 	// eventMost is the longest event in bytes.
 	eventMost = 1 << 20
-	// tokenQuiet is the longest time without a token.
-	tokenQuiet = 5 * time.Second
+	// tokenIdleTimeout is the longest time without a token.
+	tokenIdleTimeout = 5 * time.Second
 )
 
 // Generate sends g to an engine and hands every token to take. It returns the
@@ -84,7 +84,7 @@
 		req.Header.Set(k, v)
 	}
 	req.SetBodyRaw(body)
-	a, err := c.Do(ctx, addr, req, Options{Stream: true, Quiet: tokenQuiet})
+	a, err := c.Do(ctx, addr, req, Options{Stream: true, IdleTimeout: tokenIdleTimeout})
 	if err != nil {
 		return "", err
 	}
