--- a/internal/deployment/charge_test.go
+++ b/internal/deployment/charge_test.go
@@ -121,7 +121,7 @@
 		}
 		return true
 	})
-	revision := status(d).Revision
+	revision := mustStatus(t, d).Revision
 	d.Process("control-" + strconv.Itoa(second)).Kill()
 	out := mustCLI(t, d, "record", "list", "--json")
 	var all struct{ Revision uint64 }
@@ -138,7 +138,7 @@
 	t.Parallel()
 	d := start(t, nil)
 	lead := leader(t, d)
-	term := status(d).Term
+	term := mustStatus(t, d).Term
 	follower := d.Process("control-" + strconv.Itoa((lead+1)%3))
 	must(t, follower.Signal(syscall.SIGSTOP))
 	file := filepath.Join(d.Dir, "w.json")
@@ -149,7 +149,7 @@
 	time.Sleep(4 * time.Second) // longer than every lease and election timeout
 	must(t, follower.Signal(syscall.SIGCONT))
 	await(t, "the follower to catch up", func() bool {
-		s := status(d)
+		s := mustStatus(t, d)
 		for _, r := range s.Replicas {
 			if r.Match < s.Commit {
 				return false
@@ -157,7 +157,7 @@
 		}
 		return true
 	})
-	if s := status(d); s.Term != term || s.Leader != d.ControlAddr(lead) {
+	if s := mustStatus(t, d); s.Term != term || s.Leader != d.ControlAddr(lead) {
 		t.Fatalf("term %d of %s became term %d of %s", term, d.ControlAddr(lead), s.Term, s.Leader)
 	}
 }
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -144,6 +144,14 @@
 	return nil
 }
 
+// mustStatus waits until a leader answers.
+func mustStatus(t *testing.T, d *Deployment) *pb.StatusAnswer {
+	t.Helper()
+	var s *pb.StatusAnswer
+	await(t, "the status", func() bool { s = status(d); return s != nil })
+	return s
+}
+
 // leader returns the control process that leads.
 func leader(t *testing.T, d *Deployment) int {
 	t.Helper()
--- a/pkg/process/control/demand.go
+++ b/pkg/process/control/demand.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// loadWindow is the weight of history in the moving average of the load.
+const loadWindow = 4
+
+// smoothLoad takes in a host's offered load.
+func (h *host) smoothLoad(now []*pb.Load) {
+	if h.load == nil {
+		h.load = map[string]float64{}
+	}
+	for _, l := range now {
+		h.load[l.Pool] += (l.Amount - h.load[l.Pool]) / loadWindow
+	}
+}
+
 // demandLeast is the average below which a demand counts as none.
 const demandLeast = 0.05
 
--- a/pkg/process/control/leadership.go
+++ b/pkg/process/control/leadership.go
@@ -51,7 +51,9 @@
 	seq      uint64
 	revision uint64
 	// demand is the moving average by pool and workspace.
-	demand   map[poolWorkspace]float64
+	demand map[poolWorkspace]float64
+	// load is the moving average of the offered load by pool.
+	load     map[string]float64
 	usage    map[string]ledger.Counters
 	outcomes map[string]ramp.Counts
 	leaving  bool
--- a/pkg/process/control/renew.go
+++ b/pkg/process/control/renew.go
@@ -131,6 +131,7 @@
 	}
 	h.seq, h.zone, h.revision, h.leaving = q.Seq, q.Zone, q.Revision, q.Leaving
 	h.smooth(q.Demands)
+	h.smoothLoad(q.Loads)
 	h.usage = countersOf(q.Usage)
 	s.takeUsage(h)
 	before := r.table
--- a/pkg/process/control/servers.go
+++ b/pkg/process/control/servers.go
@@ -96,7 +96,9 @@
 	return out
 }
 
-// fleetDemand sums the demand of every pool over the live hosts. Pools that
+// fleetDemand sums the offered load of every pool over the live hosts. The
+// backlog does not count: it grows while fresh servers warm up, and would order
+// many more than are needed. Pools that
 // zones name are listed without demand too, so that their least is ordered.
 func (s *Server) fleetDemand() []fleet.Demand {
 	now := time.Now()
@@ -110,8 +112,8 @@
 		if !s.leadership.leases.Live(name, now) {
 			continue
 		}
-		for k, amount := range h.demand {
-			amounts[k.pool] += amount
+		for pool, amount := range h.load {
+			amounts[pool] += amount
 		}
 	}
 	bears := map[string]int{}
--- a/pkg/process/grant/keeper.go
+++ b/pkg/process/grant/keeper.go
@@ -45,6 +45,8 @@
 	Usage func() []*pb.Usage
 	// Demand returns the running and waiting requests.
 	Demand func() []*pb.Demand
+	// Load returns the offered load since the last call.
+	Load func() []*pb.Load
 	// Changed is called after a new version is in force, and when the lease
 	// ends or begins. held tells which.
 	Changed func(v *view.View, held bool)
@@ -165,7 +167,7 @@
 	k.seq++
 	q := &pb.RenewRequest{Host: k.cfg.Host, Incarnation: k.cfg.Incarnation, Zone: k.cfg.Zone, Seq: k.seq,
 		Term: k.term, Revision: v.Revision, Table: k.cfg.Table.Number(), Usage: k.cfg.Usage(),
-		Demands: k.cfg.Demand(), Leaving: k.leaving, Waitms: uint32(k.cfg.Wait / time.Millisecond)}
+		Demands: k.cfg.Demand(), Loads: k.cfg.Load(), Leaving: k.leaving, Waitms: uint32(k.cfg.Wait / time.Millisecond)}
 	if !held {
 		q.Waitms = 0
 	}
--- a/pkg/process/grant/keeper_test.go
+++ b/pkg/process/grant/keeper_test.go
@@ -45,7 +45,8 @@
 	table := backendserver.New(backendserver.Policy{Choice: "wait"}, 1)
 	k := New(Config{Host: "h", Incarnation: 1, Wait: 50 * time.Millisecond, Table: table, Log: logrus.NewEntry(log),
 		Leader: leader.New([]string{srv.Listener.Addr().String()}, srv.Client(), "http://"),
-		Usage:  func() []*pb.Usage { return nil }, Demand: func() []*pb.Demand { return nil }, Changed: func(*view.View, bool) {}})
+		Usage:  func() []*pb.Usage { return nil }, Demand: func() []*pb.Demand { return nil },
+		Load: func() []*pb.Load { return nil }, Changed: func(*view.View, bool) {}})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go k.Run(ctx)
--- a/pkg/request/dispatch/dispatch.go
+++ b/pkg/request/dispatch/dispatch.go
@@ -121,6 +121,17 @@
 	return out
 }
 
+// Load returns the offered load of every pool since the last call.
+func (d *Dispatcher) Load() []*pb.Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []*pb.Load
+	for pool, q := range d.queues {
+		out = append(out, &pb.Load{Pool: pool, Amount: q.Load()})
+	}
+	return out
+}
+
 // acquire waits for a slot. Its errors say that the request was not run,
 // unless an earlier attempt may have run it.
 func (d *Dispatcher) acquire(ctx context.Context, j *Job) (backendserver.Slot, error) {
--- a/pkg/request/queue/queue.go
+++ b/pkg/request/queue/queue.go
@@ -76,6 +76,9 @@
 	flows   map[string]*flow[S]
 	virtual float64
 	arrived uint64
+	// offered counts the requests since loadSince, refused ones too.
+	offered   int
+	loadSince time.Time
 	// service is the moving average of the time that a slot is held.
 	service time.Duration
 	stopped bool
@@ -101,7 +104,7 @@
 
 // New returns an empty queue.
 func New[S Slot](cfg Settings, capacity func() int) *Queue[S] {
-	return &Queue[S]{cfg: cfg, capacity: capacity, flows: map[string]*flow[S]{}}
+	return &Queue[S]{cfg: cfg, capacity: capacity, flows: map[string]*flow[S]{}, loadSince: time.Now()}
 }
 
 // serviceWindow is the weight of history in the moving average.
@@ -135,6 +138,7 @@
 	if q.stopped {
 		return nil, &RefusedError{Reason: ReasonStopped, RetryAfter: time.Second}
 	}
+	q.offered++
 	f := q.flow(r.Workspace)
 	f.weight = r.Weight
 	if len(f.waiting) >= q.cfg.Most {
@@ -324,5 +328,20 @@
 	return out
 }
 
+// Load returns the offered number of requests at once since the last call, by
+// Little's law. Unlike Demand it does not grow with a backlog.
+func (q *Queue[S]) Load() float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	elapsed := now.Sub(q.loadSince)
+	if elapsed <= 0 {
+		return 0
+	}
+	load := float64(q.offered) / elapsed.Seconds() * q.service.Seconds()
+	q.offered, q.loadSince = 0, now
+	return load
+}
+
 // Seconds rounds a Retry-After up to whole seconds, at least one.
 func Seconds(d time.Duration) int { return max(1, int(math.Ceil(d.Seconds()))) }
--- a/pkg/request/queue/queue_test.go
+++ b/pkg/request/queue/queue_test.go
@@ -180,3 +180,23 @@
 		}
 	})
 }
+
+// TestLoadIgnoresTheBacklog offers 20 requests a second of 100 ms to one slot
+// that is taken: the load is 2, whatever waits or is refused.
+func TestLoadIgnoresTheBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(1)
+		q := New[int](Settings{Most: 5}, func() int { return 1 })
+		acquire(q, request(p, "w", 1, 1, time.Hour))
+		q.Release("w", 100*time.Millisecond) // a slot is held for 100 ms, and this one stays taken
+		q.Load()
+		for range 100 {
+			go acquire(q, request(p, "w", 1, 1, time.Second))
+			time.Sleep(50 * time.Millisecond)
+		}
+		if load := q.Load(); load < 1.9 || load > 2.1 {
+			t.Errorf("load is %.2f, want 2", load)
+		}
+		time.Sleep(2 * time.Second) // lets every waiting request end
+	})
+}
