--- a/cmd/plantainbank/cmds/cmds.go
+++ b/cmd/plantainbank/cmds/cmds.go
@@ -82,7 +82,7 @@
 // table returns all commands in the order of the help.
 func table() []command {
 	return []command{
-		controlCommand(), entryCommand(), checkCommand(),
+		controlCommand(), entryCommand(), siteCommand(), checkCommand(),
 		recordPutCommand(), recordGetCommand(), recordListCommand(), recordWithdrawCommand(), recordWaitCommand(),
 		keyNewCommand(), keyWithdrawCommand(), stepShowCommand(), statusCommand(),
 		replicaListCommand(), replicaAddCommand(), replicaRemoveCommand(),
--- /dev/null
+++ b/internal/connection/place/cold.go
@@ -0,0 +1,41 @@
+package place
+
+import "time"
+
+// hostShare is the part of what a cold server bears that all hosts together
+// use; the rest covers requests that are late on their way and hosts that do
+// not know of each other.
+const hostShare = 0.8
+
+// cold reports whether a server is cold, and gives it the credit that has
+// grown since. A server whose connection broke may have started anew without
+// this host knowing, so it counts as cold for as long as a new one is.
+func (t *Table) cold(s *server, now time.Time) bool {
+	if t.services == nil {
+		return false
+	}
+	service := t.services.Service(s.Service)
+	if service == nil || service.ColdRate <= 0 {
+		return false
+	}
+	told := now.Before(time.UnixMilli(s.ColdUntil).Add(coldMargin))
+	guessed := now.Sub(s.coldSince) < service.Cold+coldMargin
+	if !told && !guessed {
+		return false
+	}
+	t.accrue(s, service.ColdRate, now)
+	return true
+}
+
+// accrue grows the credit at this host's share of the rate, up to one request
+// above what a second brings.
+func (t *Table) accrue(s *server, rate float64, now time.Time) {
+	mine := rate * hostShare / float64(t.hosts)
+	if s.credited.IsZero() {
+		s.credit = 1
+	} else {
+		s.credit += mine * now.Sub(s.credited).Seconds()
+	}
+	s.credited = now
+	s.credit = min(s.credit, 1+mine/8)
+}
--- /dev/null
+++ b/internal/connection/place/table.go
@@ -0,0 +1,336 @@
+package place
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/plantainbank/plantainbank/internal/process/roster"
+	"github.com/plantainbank/plantainbank/internal/version/routing"
+)
+
+// Periods, weights and limits of the choice.
+const (
+	// restLeast and restMost bound the rest of a server whose connection
+	// broke; it doubles with each failure. A crashed server is away for about
+	// 4 s.
+	restLeast = 500 * time.Millisecond
+	restMost  = 4 * time.Second
+	// busyRest follows an answer that says "full": a few requests end in it.
+	busyRest = 120 * time.Millisecond
+	// loadingRest follows a refusal while weights load, which takes 0.9 s.
+	loadingRest = 250 * time.Millisecond
+	// paceWeight is the weight of one sample in the moving average.
+	paceWeight = 0.25
+	// paceLeast and paceMost bound how much a pace counts against the others.
+	paceLeast, paceMost = 0.7, 8.0
+	// preferSlack is the cost that a preferred server may have above the best.
+	preferSlack = 2.0
+	// zoneCost is the cost of leaving the zone, and connectCost that of a new
+	// connection, in requests.
+	zoneCost, connectCost = 0.4, 0.3
+	// coldMargin is added to a cold period: the clocks of hosts differ.
+	coldMargin = 400 * time.Millisecond
+)
+
+// Outcome is how the use of a slot ended.
+type Outcome string
+
+// Outcomes of a slot.
+const (
+	Served Outcome = "served"
+	// Failed requests got an error of the server.
+	Failed Outcome = "failed"
+	// Full servers said that they did not run the request.
+	Full Outcome = "full"
+	// Loading servers did not run it since they load weights.
+	Loading Outcome = "loading"
+	// Broken means no answer, or not a whole one.
+	Broken Outcome = "broken"
+	// Misdirected requests met another instance.
+	Misdirected Outcome = "misdirected"
+	// Abandoned requests were given up by their caller.
+	Abandoned Outcome = "abandoned"
+)
+
+// server is one start of a backend server, as this host knows it.
+type server struct {
+	roster.Instance
+	running int
+	// pace is the moving average of the time for a unit of work.
+	pace time.Duration
+	// restUntil ends a rest, failures counts the breaks since the last answer.
+	restUntil time.Time
+	failures  int
+	// probing is true while the only request after a rest runs.
+	probing bool
+	// credit and credited are the requests that a cold server may get.
+	credit   float64
+	credited time.Time
+	// coldSince is when a break made the server count as cold, zero if not.
+	coldSince time.Time
+	// reported is the load that other hosts cause, as the server told last.
+	reported   int
+	reportedAt time.Time
+}
+
+// Table holds the backend servers. It is safe for concurrent use.
+type Table struct {
+	// Zone is the host's own availability zone; empty means no preference.
+	Zone string
+	// Overage and Slack bound the requests a second to a cold server.
+	Overage, Slack float64
+	// Connected reports whether there is an open connection to an address;
+	// nil means that it does not matter.
+	Connected func(addr string) bool
+
+	mu       sync.Mutex
+	servers  map[string]*server
+	zonesOut map[string]bool
+	services *routing.Table
+	// hosts is the number of hosts that send to the same servers.
+	hosts int
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{servers: map[string]*server{}, hosts: 1} }
+
+// Update takes in what control knows.
+func (t *Table) Update(all []roster.Instance, zonesOut map[string]bool, services *routing.Table, hosts int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.zonesOut, t.services, t.hosts = zonesOut, services, max(1, hosts)
+	seen := map[string]bool{}
+	for _, x := range all {
+		if x.State == roster.Gone {
+			continue
+		}
+		seen[x.ID] = true
+		s := t.servers[x.ID]
+		if s == nil || s.Born != x.Born {
+			s = &server{}
+			t.servers[x.ID] = s
+		}
+		learned := s.Weights
+		s.Instance = x
+		for model, v := range learned {
+			if v > x.Weights[model] {
+				s.learn(model, v)
+			}
+		}
+	}
+	for id := range t.servers {
+		if !seen[id] {
+			delete(t.servers, id)
+		}
+	}
+}
+
+// learn replaces the map, which may be shared with the roster's copy.
+func (s *server) learn(model string, version uint64) {
+	out := map[string]uint64{}
+	for m, v := range s.Weights {
+		out[m] = v
+	}
+	out[model] = version
+	s.Weights = out
+}
+
+// Want describes what a request needs.
+type Want struct {
+	Service string
+	// Model and MinVersion ask for weights; an empty model asks for none.
+	Model      string
+	MinVersion uint64
+	// Prefer names a server that has the prompt.
+	Prefer string
+	// Avoid lists servers that the request has failed at.
+	Avoid map[string]bool
+	// Strict never exceeds a server's slots; otherwise the least loaded server
+	// gets the request even if it is full.
+	Strict bool
+}
+
+// Slot is a place at a server. It must be given back with Done.
+type Slot struct {
+	ID, Addr string
+	Born     int64
+	// Taken is when the slot was taken.
+	Taken time.Time
+	// Cold tells that the server was cold.
+	Cold bool
+}
+
+// Take takes a slot at the best server, or reports that there is none now.
+func (t *Table) Take(w Want, now time.Time) (Slot, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.choose(w, now)
+	if s == nil {
+		return Slot{}, false
+	}
+	s.running++
+	s.probing = s.failures > 0
+	cold := t.cold(s, now)
+	if cold {
+		s.credit--
+	}
+	return Slot{ID: s.ID, Addr: s.Addr, Born: s.Born, Taken: now, Cold: cold}, true
+}
+
+func (t *Table) choose(w Want, now time.Time) *server {
+	typical := t.typicalPace(w.Service)
+	var best, preferred *server
+	least, preferredCost := 0.0, 0.0
+	for _, s := range t.servers {
+		if !t.fits(s, w, now) {
+			continue
+		}
+		cost := t.cost(s, typical, now)
+		if best == nil || cost < least || cost == least && s.ID < best.ID {
+			best, least = s, cost
+		}
+		if s.ID == w.Prefer {
+			preferred, preferredCost = s, cost
+		}
+	}
+	if preferred != nil && preferredCost <= least+preferSlack {
+		return preferred
+	}
+	return best
+}
+
+// fits reports whether a server may get a request now.
+func (t *Table) fits(s *server, w Want, now time.Time) bool {
+	switch {
+	case s.Service != w.Service, s.State != roster.Ready, t.zonesOut[s.Zone], w.Avoid[s.ID]:
+	case w.Model != "" && s.Weights[w.Model] < w.MinVersion:
+	case now.Before(s.restUntil), s.failures > 0 && s.probing:
+	case w.Strict && s.Slots > 0 && s.running >= s.Slots:
+	case t.cold(s, now) && s.credit < 1:
+	default:
+		return true
+	}
+	return false
+}
+
+// Serves reports whether any server could ever take the request, now or after
+// a rest. Versions do not count, since they only grow.
+func (t *Table) Serves(w Want) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.servers {
+		if s.Service == w.Service && s.State == roster.Ready && !t.zonesOut[s.Zone] {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) cost(s *server, typical time.Duration, now time.Time) float64 {
+	relative := 1.0
+	if s.pace > 0 && typical > 0 {
+		relative = min(paceMost, max(paceLeast, float64(s.pace)/float64(typical)))
+	}
+	running := s.running
+	if now.Sub(s.reportedAt) < reportFresh {
+		running = max(running, s.reported)
+	}
+	cost := float64(running+1) * relative
+	if t.Zone != "" && s.Zone != t.Zone {
+		cost += zoneCost
+	}
+	if t.Connected != nil && !t.Connected(s.Addr) {
+		cost += connectCost
+	}
+	return cost
+}
+
+// reportFresh is how long a load that a server told counts.
+const reportFresh = 300 * time.Millisecond
+
+// typicalPace is the median pace of a service.
+func (t *Table) typicalPace(service string) time.Duration {
+	var all []time.Duration
+	for _, s := range t.servers {
+		if s.Service == service && s.pace > 0 {
+			all = append(all, s.pace)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
+// Report takes in the load that a server told in an answer.
+func (t *Table) Report(id string, busy int, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[id]; s != nil {
+		s.reported, s.reportedAt = busy, now
+	}
+}
+
+// Learn takes in a weight version that a server's answer named.
+func (t *Table) Learn(x Slot, model string, version uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[x.ID]; s != nil && s.Born == x.Born && s.Weights[model] < version {
+		s.learn(model, version)
+	}
+}
+
+// Done gives a slot back. pace is the time for a unit of work, zero if it is
+// not known.
+func (t *Table) Done(x Slot, o Outcome, pace time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[x.ID]
+	if s == nil || s.Born != x.Born {
+		return
+	}
+	s.running = max(0, s.running-1)
+	s.probing = false
+	if pace > 0 {
+		s.addPace(pace)
+	}
+	s.settle(o, now)
+}
+
+func (s *server) addPace(pace time.Duration) {
+	if s.pace == 0 {
+		s.pace = pace
+		return
+	}
+	s.pace += time.Duration(paceWeight * float64(pace-s.pace))
+}
+
+// settle lets a server rest or clears its past.
+func (s *server) settle(o Outcome, now time.Time) {
+	switch o {
+	case Served:
+		s.failures, s.restUntil = 0, time.Time{}
+	case Full:
+		s.restUntil = later(s.restUntil, now.Add(busyRest))
+	case Loading:
+		s.restUntil = later(s.restUntil, now.Add(loadingRest))
+	case Broken, Misdirected:
+		// The requests that break together count as one failure.
+		if now.Before(s.restUntil) {
+			return
+		}
+		s.failures++
+		s.coldSince = now
+		rest := restLeast << min(s.failures-1, 8)
+		s.restUntil = now.Add(min(rest, restMost))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/process/catalog/catalog.go
@@ -0,0 +1,233 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+
+	"github.com/plantainbank/plantainbank/internal/version/routing"
+)
+
+// windowsKept bounds the closed usage windows that are remembered; older ones
+// can not be closed again, since Floor has passed them.
+const windowsKept = 64
+
+// Catalog is the replicated state. It is not safe for concurrent use.
+type Catalog struct {
+	// Revision grows with every change that hosts must learn.
+	Revision uint64 `json:"revision"`
+	Public   Public `json:"public"`
+	// Document is the configuration as it was submitted.
+	Document []byte `json:"document,omitempty"`
+	// Token is the fencing token of the latest office: the log index that
+	// opened it. It never decreases.
+	Token uint64 `json:"token"`
+	// Holder is the host that the office belongs to.
+	Holder string `json:"holder,omitempty"`
+	// Windows are the closed usage windows; their counts never change.
+	Windows map[uint64]*Window `json:"windows,omitempty"`
+	// Floor is below every window that may still be closed.
+	Floor uint64 `json:"floor"`
+}
+
+// Public is the part that every host of the system has.
+type Public struct {
+	// Config is nil until the first configuration is accepted.
+	Config *routing.Config `json:"config,omitempty"`
+	// ZonesOut get no new work.
+	ZonesOut map[string]bool `json:"zonesout,omitempty"`
+	// Weights holds the newest named version of each model.
+	Weights map[string]uint64 `json:"weights,omitempty"`
+	// Founders are the first voters of the store group; set once.
+	Founders []Founder `json:"founders,omitempty"`
+	// Retiring names the store hosts that are to be emptied.
+	Retiring map[string]bool `json:"retiring,omitempty"`
+}
+
+// Founder is one of the first voters of the store group.
+type Founder struct {
+	Disk uint64 `json:"disk"`
+	Addr string `json:"addr"`
+}
+
+// Window is a closed usage window.
+type Window struct {
+	Counts map[string]uint64 `json:"counts"`
+	Sent   bool              `json:"sent,omitempty"`
+}
+
+// Command is one change. Exactly one field is set.
+type Command struct {
+	Config *ConfigChange `json:"config,omitempty"`
+	Zone   *ZoneChange   `json:"zone,omitempty"`
+	Weight *WeightChange `json:"weight,omitempty"`
+	Found  []Founder     `json:"found,omitempty"`
+	Retire string        `json:"retire,omitempty"`
+	// Office names the host that opens an office.
+	Office string       `json:"office,omitempty"`
+	Close  *WindowClose `json:"close,omitempty"`
+	// Sent is the number of a window that was reported.
+	Sent uint64 `json:"sent,omitempty"`
+}
+
+// ConfigChange submits a configuration.
+type ConfigChange struct {
+	Document []byte          `json:"document"`
+	Config   *routing.Config `json:"config"`
+}
+
+// ZoneChange takes an availability zone out or back.
+type ZoneChange struct {
+	Zone string `json:"zone"`
+	Out  bool   `json:"out"`
+}
+
+// WeightChange names a version of a model.
+type WeightChange struct {
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+}
+
+// WindowClose fixes the counts of a usage window.
+type WindowClose struct {
+	Number uint64            `json:"number"`
+	Counts map[string]uint64 `json:"counts"`
+}
+
+// New returns an empty catalog.
+func New() *Catalog { return &Catalog{Windows: map[uint64]*Window{}} }
+
+// Restore returns the catalog that Save encoded.
+func Restore(data []byte) (*Catalog, error) {
+	c := New()
+	if err := json.Unmarshal(data, c); err != nil {
+		return nil, fmt.Errorf("catalog: %w", err)
+	}
+	if c.Windows == nil {
+		c.Windows = map[uint64]*Window{}
+	}
+	return c, nil
+}
+
+// Save encodes the catalog.
+func (c *Catalog) Save() []byte { return encode(c) }
+
+// Encode returns the bytes of a command.
+func (c *Command) Encode() []byte { return encode(c) }
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // plain structs always encode
+	}
+	return data
+}
+
+// Apply carries out one encoded command at a log index and reports whether
+// hosts must learn of it.
+func (c *Catalog) Apply(index uint64, data []byte) (changed bool, err error) {
+	var x Command
+	if err := json.Unmarshal(data, &x); err != nil {
+		return false, fmt.Errorf("catalog command at %d: %w", index, err)
+	}
+	changed = c.apply(index, &x)
+	if changed {
+		c.Revision = index
+	}
+	return changed, nil
+}
+
+func (c *Catalog) apply(index uint64, x *Command) bool {
+	switch {
+	case x.Config != nil:
+		return c.putConfig(x.Config)
+	case x.Zone != nil:
+		return c.putZone(x.Zone)
+	case x.Weight != nil:
+		return c.putWeight(x.Weight)
+	case x.Found != nil:
+		return c.found(x.Found)
+	case x.Retire != "":
+		return c.retire(x.Retire)
+	case x.Office != "":
+		c.Token, c.Holder = index, x.Office
+	case x.Close != nil:
+		c.closeWindow(x.Close)
+	case x.Sent != 0:
+		if w := c.Windows[x.Sent]; w != nil {
+			w.Sent = true
+		}
+	}
+	return false
+}
+
+// putConfig puts a configuration in force if its version is higher.
+func (c *Catalog) putConfig(x *ConfigChange) bool {
+	if held := c.Public.Config; held != nil && x.Config.Version <= held.Version {
+		return false
+	}
+	c.Public.Config, c.Document = x.Config, x.Document
+	return true
+}
+
+// putZone replaces the map, since readers may hold the former one.
+func (c *Catalog) putZone(x *ZoneChange) bool {
+	if c.Public.ZonesOut[x.Zone] == x.Out {
+		return false
+	}
+	c.Public.ZonesOut = withEntry(c.Public.ZonesOut, x.Zone, x.Out)
+	return true
+}
+
+func (c *Catalog) putWeight(x *WeightChange) bool {
+	if x.Version <= c.Public.Weights[x.Model] {
+		return false
+	}
+	c.Public.Weights = withEntry(c.Public.Weights, x.Model, x.Version)
+	return true
+}
+
+func (c *Catalog) found(hosts []Founder) bool {
+	if c.Public.Founders != nil {
+		return false
+	}
+	c.Public.Founders = hosts
+	return true
+}
+
+func (c *Catalog) retire(node string) bool {
+	if c.Public.Retiring[node] {
+		return false
+	}
+	c.Public.Retiring = withEntry(c.Public.Retiring, node, true)
+	return true
+}
+
+func withEntry[V any](m map[string]V, k string, v V) map[string]V {
+	out := maps.Clone(m)
+	if out == nil {
+		out = map[string]V{}
+	}
+	out[k] = v
+	return out
+}
+
+// closeWindow fixes a window's counts once.
+func (c *Catalog) closeWindow(x *WindowClose) {
+	if x.Number < c.Floor || c.Windows[x.Number] != nil {
+		return
+	}
+	c.Windows[x.Number] = &Window{Counts: x.Counts}
+	for len(c.Windows) > windowsKept {
+		c.dropOldest()
+	}
+}
+
+func (c *Catalog) dropOldest() {
+	oldest := ^uint64(0)
+	for n := range c.Windows {
+		oldest = min(oldest, n)
+	}
+	delete(c.Windows, oldest)
+	c.Floor = max(c.Floor, oldest+1)
+}
--- /dev/null
+++ b/internal/process/director/director.go
@@ -0,0 +1,239 @@
+package director
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/plantainbank/plantainbank/internal/process/catalog"
+	"github.com/plantainbank/plantainbank/internal/process/feed"
+	"github.com/plantainbank/plantainbank/internal/process/roster"
+	"github.com/plantainbank/plantainbank/internal/process/weights"
+	"github.com/plantainbank/plantainbank/pkg/process/disk"
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+	"github.com/plantainbank/plantainbank/pkg/process/replica"
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
+	"github.com/plantainbank/plantainbank/service/fleet"
+	"github.com/plantainbank/plantainbank/service/peer"
+)
+
+// NotLeaderError names the leader that must be asked.
+type NotLeaderError struct {
+	// Addr is the leader's address for own processes, empty while unknown.
+	Addr string
+}
+
+func (e *NotLeaderError) Error() string { return "not the leader, the leader is " + e.Addr }
+
+// Mark is what every call of a duty carries.
+type Mark struct {
+	// Holder is the host that holds the duty.
+	Holder string
+	// Token never decreases over holders.
+	Token uint64
+}
+
+// WeightOrder tells an engine to load weights.
+type WeightOrder struct {
+	weights.Order
+	Mark
+	// Seq is the number of orders that the engine must have accepted so far.
+	Seq uint64
+	// Wait lets running requests end first; otherwise they go on under the
+	// new version.
+	Wait bool
+}
+
+// Outside are the calls to backend servers and to the platform.
+type Outside struct {
+	// Order gives an order to an engine.
+	Order func(ctx context.Context, o WeightOrder) weights.Outcome
+	// Accepted asks an engine for the number of orders it has accepted.
+	Accepted func(ctx context.Context, x roster.Instance) (uint64, error)
+	// Usage reports a window. A *FencedError says that another holder came.
+	Usage func(ctx context.Context, m Mark, window uint64, counts map[string]uint64) error
+}
+
+// FencedError reports a call that carried an old fencing token.
+type FencedError struct{ Mark }
+
+func (e *FencedError) Error() string { return "a later holder has called" }
+
+// Config holds what New needs.
+type Config struct {
+	Site    settings.Site
+	Log     *logrus.Entry
+	Scope   tally.Scope
+	Files   disk.Files
+	Timing  quorum.Timing
+	Client  *http.Client
+	Outside Outside
+}
+
+// Server is a control process.
+type Server struct {
+	cfg     Config
+	log     *logrus.Entry
+	replica *replica.Replica
+	feed    *feed.Feed
+	catalog *catalog.Catalog
+	office  *office
+	// changed is closed and replaced whenever waiting calls should look again.
+	changed chan struct{}
+}
+
+// New opens the data folder. Close releases it.
+func New(cfg Config) (*Server, error) {
+	s := &Server{cfg: cfg, log: cfg.Log, catalog: catalog.New(), changed: make(chan struct{})}
+	r, err := replica.New(replica.Config{
+		Dir: cfg.Site.Data, Self: cfg.Site.Internal(), Replicas: cfg.Site.Replicas(), Files: cfg.Files, Timing: cfg.Timing,
+		Client: cfg.Client, Log: cfg.Log,
+		Apply:   s.apply,
+		Save:    func() []byte { return s.catalog.Save() },
+		Restore: s.restore,
+		Changed: s.roleChanged,
+		Hosts:   s.controlHosts,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.replica = r
+	s.feed = feed.New(feed.Config{Role: settings.RoleControl, Host: cfg.Site.Host, Incarnation: uint64(time.Now().UnixNano()),
+		Client: cfg.Client, Log: cfg.Log, Self: cfg.Site.Internal(), Report: s.report, Changed: func(*feed.State) {}},
+		cfg.Site.Controls())
+	return s, nil
+}
+
+// Close releases the data folder.
+func (s *Server) Close() error { return s.replica.Close() }
+
+// Handler serves the calls of own processes.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	p := peer.NewPeerServer(s.replica.Service())
+	mux.Handle(p.PathPrefix(), p)
+	d := fleet.NewDirectorServer(s)
+	mux.Handle(d.PathPrefix(), d)
+	return mux
+}
+
+// Reseed takes the seeds of changed settings.
+func (s *Server) Reseed(seeds []string) { s.feed.Reseed(seeds) }
+
+// Run serves until ctx ends or the disk fails.
+func (s *Server) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.replica.Run(ctx) })
+	g.Go(func() error { s.found(ctx); return nil })
+	g.Go(func() error { s.follow(ctx); return nil })
+	g.Go(func() error { s.work(ctx); return nil })
+	return g.Wait()
+}
+
+// Leader returns the leader's address for own processes; self is true if this
+// process leads with a valid lease.
+func (s *Server) Leader() (addr string, self bool) {
+	if _, _, ok := s.replica.Node().Holds(); ok {
+		return s.cfg.Site.Internal(), true
+	}
+	if addr := s.replica.Node().Status().LeaderAddr; addr != s.cfg.Site.Internal() && addr != "" {
+		return addr, false
+	}
+	return "", false
+}
+
+func (s *Server) do(ctx context.Context, f func()) error { return s.replica.Node().Do(ctx, f) }
+
+// onLeader runs f on the control goroutine if this process leads.
+func (s *Server) onLeader(ctx context.Context, f func(o *office) error) error {
+	var inner error
+	err := s.do(ctx, func() {
+		addr, self := s.Leader()
+		if !self || s.office == nil {
+			inner = &NotLeaderError{Addr: addr}
+			return
+		}
+		inner = f(s.office)
+	})
+	if err != nil {
+		return err
+	}
+	return inner
+}
+
+// propose commits a command. A *NotLeaderError says that it was surely not
+// proposed.
+func (s *Server) propose(ctx context.Context, c *catalog.Command) error {
+	if addr, self := s.Leader(); !self {
+		return &NotLeaderError{Addr: addr}
+	}
+	_, err := s.replica.Node().Propose(ctx, c.Encode())
+	var not *quorum.NotLeaderError
+	if errors.As(err, &not) {
+		return &NotLeaderError{Addr: not.Addr}
+	}
+	return err
+}
+
+// apply runs on the control goroutine.
+func (s *Server) apply(index uint64, data []byte) any {
+	changed, err := s.catalog.Apply(index, data)
+	if err != nil {
+		s.log.WithError(err).Error("a replicated command can not be read")
+	}
+	if changed {
+		s.notify()
+	}
+	return changed
+}
+
+func (s *Server) restore(data []byte) error {
+	c, err := catalog.Restore(data)
+	if err != nil {
+		return err
+	}
+	s.catalog = c
+	return nil
+}
+
+// notify lets waiting calls look again. It runs on the control goroutine.
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// roleChanged opens or ends an office. It runs on the control goroutine, but
+// for its first call, which New makes.
+func (s *Server) roleChanged(st quorum.Status) {
+	s.cfg.Scope.Gauge("term").Update(float64(st.Term))
+	if st.Role != quorum.Leader {
+		s.office = nil
+		return
+	}
+	if s.office == nil || s.office.term != st.Term {
+		s.office = newOffice(st.Term, time.Now())
+		if s.feed != nil {
+			s.office.roster.Load(s.feed.State().Instances, time.Now())
+		}
+	}
+}
+
+// wireError turns an error into one that twirp carries.
+func wireError(err error) error {
+	var not *NotLeaderError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &not):
+		return twirp.NewError(twirp.FailedPrecondition, "not the leader").WithMeta(feed.LeaderMeta, not.Addr)
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return twirp.NewError(twirp.DeadlineExceeded, err.Error())
+	}
+	return twirp.NewError(twirp.Unavailable, err.Error())
+}
--- /dev/null
+++ b/internal/process/director/stores.go
@@ -0,0 +1,129 @@
+package director
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/plantainbank/plantainbank/internal/process/catalog"
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
+)
+
+// UnknownHostError reports a store host that nobody knows.
+type UnknownHostError struct{ Host string }
+
+func (e *UnknownHostError) Error() string { return fmt.Sprintf("no store host is named %q", e.Host) }
+
+// TooFewError reports that too few store hosts would be left.
+type TooFewError struct{ Left, Least int }
+
+func (e *TooFewError) Error() string {
+	return fmt.Sprintf("%d store hosts would be left, %d are needed", e.Left, e.Least)
+}
+
+// foundStores chooses the first voters of the store group, once, when enough
+// store hosts have shown up.
+func (s *Server) foundStores(o *office, now time.Time) {
+	if s.catalog.Public.Founders != nil {
+		return
+	}
+	var empty []*host
+	for _, h := range o.live(settings.RoleStore, now) {
+		if h.Empty {
+			empty = append(empty, h)
+		}
+	}
+	if len(empty) < s.cfg.Site.Replicas() {
+		return
+	}
+	if o.founding.IsZero() {
+		o.founding = now
+	}
+	if now.Sub(o.founding) < foundDelay {
+		return
+	}
+	o.founding = now
+	founders := chooseFounders(empty, s.cfg.Site.Replicas())
+	go s.proposeFounders(founders)
+}
+
+func (s *Server) proposeFounders(founders []catalog.Founder) {
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	if err := s.propose(ctx, &catalog.Command{Found: founders}); err != nil {
+		s.log.WithError(err).Warn("could not name the founders of the store group")
+		return
+	}
+	s.log.WithField("replicas", len(founders)).Info("named the founders of the store group")
+}
+
+// chooseFounders spreads the founders over the availability zones.
+func chooseFounders(hosts []*host, n int) []catalog.Founder {
+	slices.SortFunc(hosts, func(a, b *host) int { return strings.Compare(a.Name, b.Name) })
+	inZone := map[string]int{}
+	var out []catalog.Founder
+	for round := 0; len(out) < n && round < n; round++ {
+		for _, h := range hosts {
+			if len(out) < n && inZone[h.Zone] == round && !named(out, h) {
+				inZone[h.Zone]++
+				out = append(out, catalog.Founder{Disk: h.Disk, Addr: h.Addr})
+			}
+		}
+	}
+	return out
+}
+
+func named(founders []catalog.Founder, h *host) bool {
+	return slices.ContainsFunc(founders, func(f catalog.Founder) bool { return f.Disk == h.Disk })
+}
+
+// Retire asks that a store host be emptied. The error is an *UnknownHostError,
+// a *TooFewError or a *NotLeaderError, or says that the outcome is unknown.
+func (s *Server) Retire(ctx context.Context, name string) error {
+	err := s.onLeader(ctx, func(o *office) error {
+		now := time.Now()
+		if s.catalog.Public.Retiring[name] {
+			return nil
+		}
+		left, known := 0, false
+		for _, h := range o.live(settings.RoleStore, now) {
+			if h.Name == name {
+				known = true
+			} else if !s.catalog.Public.Retiring[h.Name] {
+				left++
+			}
+		}
+		switch {
+		case !known:
+			return &UnknownHostError{name}
+		case left < s.cfg.Site.Replicas():
+			return &TooFewError{left, s.cfg.Site.Replicas()}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	err = s.propose(ctx, &catalog.Command{Retire: name})
+	s.decided(err, "retiring a store host", map[string]any{"store": name})
+	return err
+}
+
+// Retired reports whether every copy that a retiring host held is elsewhere.
+func (s *Server) Retired(ctx context.Context, name string) (done bool, err error) {
+	err = s.onLeader(ctx, func(o *office) error {
+		if !s.catalog.Public.Retiring[name] {
+			return &UnknownHostError{name}
+		}
+		lead := o.storeLead(time.Now())
+		h := o.hosts[settings.RoleStore+" "+name]
+		if lead == nil || h == nil {
+			return nil
+		}
+		done = lead.replica.Whole && !slices.Contains(lead.replica.Voters, h.Disk)
+		return nil
+	})
+	return done, err
+}
--- /dev/null
+++ b/internal/process/store/batches.go
@@ -0,0 +1,167 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
+
+	"github.com/plantainbank/plantainbank/internal/process/feed"
+	"github.com/plantainbank/plantainbank/internal/request/batch"
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+	"github.com/plantainbank/plantainbank/service/fleet"
+)
+
+// Limits of one page of results.
+const (
+	// pageBytes keeps a page below the 1 MB that callers take.
+	pageBytes = 700 << 10
+	// proposeTimeout bounds a change; after it the outcome is unknown.
+	proposeTimeout = 2500 * time.Millisecond
+)
+
+// Submit stores a batch, once. The answer FailedPrecondition says that it was
+// surely not stored; Unavailable says that the outcome is unknown.
+func (s *Server) Submit(ctx context.Context, q *fleet.Submission) (*fleet.Nothing, error) {
+	var b batch.Batch
+	if err := json.Unmarshal(q.Batch, &b); err != nil {
+		return nil, twirp.InvalidArgumentError("batch", err.Error())
+	}
+	if b.ID == "" || b.ID != q.Id {
+		return nil, twirp.InvalidArgumentError("id", "does not match the batch")
+	}
+	known := false
+	err := s.onLeader(ctx, func() { known = s.batches.Get(b.ID) != nil })
+	if err == nil && !known {
+		b.Submitted = time.Now().UnixMilli()
+		err = s.proposeWithin(ctx, &batch.Command{Accept: &b})
+	}
+	entry := s.log.WithFields(logrus.Fields{"batch": b.ID, "items": len(b.Items), "step": b.Step, "route": b.Route,
+		"min_version": b.MinVersion, "known": known})
+	if err != nil {
+		entry.WithError(err).Warn("batch not accepted")
+		return nil, wireError(err)
+	}
+	entry.Info("batch accepted")
+	s.cfg.Scope.Counter("batches").Inc(1)
+	return &fleet.Nothing{}, nil
+}
+
+func (s *Server) proposeWithin(ctx context.Context, c *batch.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	return s.propose(ctx, c)
+}
+
+// Read returns the results from a position on, and waits for the first one as
+// long as the caller says.
+func (s *Server) Read(ctx context.Context, q *fleet.Position) (*fleet.Page, error) {
+	timer := time.NewTimer(time.Duration(q.Waitms) * time.Millisecond)
+	defer timer.Stop()
+	for last := q.Waitms == 0; ; {
+		var page *fleet.Page
+		var changed chan struct{}
+		enough := false
+		err := s.onLeader(ctx, func() {
+			changed = s.changed
+			b := s.batches.Get(q.Batch)
+			if b == nil || b.Workspace != q.Workspace {
+				return
+			}
+			page = pageOf(b, int(q.After))
+			enough = len(page.Results) > 0 || b.Ended || len(b.Results) == len(b.Items)
+		})
+		switch {
+		case err != nil:
+			return nil, wireError(err)
+		case page == nil:
+			return nil, twirp.NotFoundError("no such batch")
+		case enough, last:
+			return page, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, wireError(ctx.Err())
+		case <-timer.C:
+			last = true
+		case <-changed:
+		}
+	}
+}
+
+func pageOf(b *batch.Batch, after int) *fleet.Page {
+	page := &fleet.Page{Total: uint32(len(b.Items)), Next: uint32(after)}
+	size := 0
+	for i := after; i < len(b.Results); i++ {
+		r := b.Results[i]
+		size += len(r.Text)
+		if len(page.Results) > 0 && size > pageBytes {
+			break
+		}
+		page.Results = append(page.Results, &fleet.Result{Item: r.Item, State: string(r.State), Text: r.Text, Versions: r.Versions})
+		page.Next = uint32(i + 1)
+	}
+	return page
+}
+
+// Body returns the body of an item that is not listed yet.
+func (s *Server) Body(ctx context.Context, q *fleet.ItemKey) (*fleet.Content, error) {
+	var content *fleet.Content
+	err := s.onLeader(ctx, func() {
+		b := s.batches.Get(q.Batch)
+		if b == nil || b.Workspace != q.Workspace || b.Ended || b.Listed(q.Item) {
+			return
+		}
+		if x, ok := b.Item(q.Item); ok {
+			content = &fleet.Content{Data: x.Body}
+		}
+	})
+	if err != nil {
+		return nil, wireError(err)
+	}
+	if content == nil {
+		return nil, twirp.NotFoundError("no such item, or it is listed or ended")
+	}
+	return content, nil
+}
+
+// End stops a batch.
+func (s *Server) End(ctx context.Context, q *fleet.BatchKey) (*fleet.Nothing, error) {
+	known, ended, listed := false, false, 0
+	err := s.onLeader(ctx, func() {
+		b := s.batches.Get(q.Batch)
+		known = b != nil && b.Workspace == q.Workspace
+		if known {
+			ended, listed = b.Ended, len(b.Results)
+		}
+	})
+	if err == nil && !known {
+		return nil, twirp.NotFoundError("no such batch")
+	}
+	if err == nil && !ended {
+		err = s.proposeWithin(ctx, &batch.Command{End: q.Batch})
+	}
+	entry := s.log.WithFields(logrus.Fields{"batch": q.Batch, "listed": listed, "ended_before": ended})
+	if err != nil {
+		entry.WithError(err).Warn("batch not ended")
+		return nil, wireError(err)
+	}
+	entry.Info("batch ended")
+	return &fleet.Nothing{}, nil
+}
+
+// wireError turns an error into one that twirp carries.
+func wireError(err error) error {
+	var not *NotLeaderError
+	var unknown *quorum.UnknownOutcomeError
+	switch {
+	case errors.As(err, &not):
+		return twirp.NewError(twirp.FailedPrecondition, "not the leader").WithMeta(feed.LeaderMeta, not.Addr)
+	case errors.As(err, &unknown):
+		return twirp.NewError(twirp.Unavailable, unknown.Error())
+	}
+	return twirp.NewError(twirp.Unavailable, err.Error())
+}
--- /dev/null
+++ b/internal/process/store/store.go
@@ -0,0 +1,257 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/plantainbank/plantainbank/internal/connection/dialect"
+	"github.com/plantainbank/plantainbank/internal/process/feed"
+	"github.com/plantainbank/plantainbank/internal/request/batch"
+	"github.com/plantainbank/plantainbank/pkg/process/disk"
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+	"github.com/plantainbank/plantainbank/pkg/process/replica"
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
+	"github.com/plantainbank/plantainbank/service/fleet"
+	"github.com/plantainbank/plantainbank/service/peer"
+)
+
+// Periods of a store process.
+const (
+	// dropPeriod is how often batches that need not be kept are looked for.
+	dropPeriod = 5 * time.Second
+	// dropMargin is added to the time that results must stay readable.
+	dropMargin = 10 * time.Second
+	// foundTimeout bounds the founding of the group.
+	foundTimeout = 2 * time.Second
+)
+
+// Config holds what New needs.
+type Config struct {
+	Site    settings.Site
+	Log     *logrus.Entry
+	Scope   tally.Scope
+	Files   disk.Files
+	Timing  quorum.Timing
+	Client  *http.Client
+	Engines *attempt.Client
+	Headers dialect.Headers
+}
+
+// Server is a store process.
+type Server struct {
+	cfg     Config
+	log     *logrus.Entry
+	replica *replica.Replica
+	feed    *feed.Feed
+	batches *batch.Store
+	driver  *driver
+	// changed is closed and replaced whenever waiting readers should look
+	// again.
+	changed chan struct{}
+}
+
+// New opens the data folder. Close releases it.
+func New(cfg Config) (*Server, error) {
+	s := &Server{cfg: cfg, log: cfg.Log, batches: batch.NewStore(), changed: make(chan struct{})}
+	s.driver = newDriver(s)
+	r, err := replica.New(replica.Config{
+		Dir: cfg.Site.Data, Self: cfg.Site.Internal(), Replicas: cfg.Site.Replicas(), Files: cfg.Files, Timing: cfg.Timing,
+		Client: cfg.Client, Log: cfg.Log,
+		Apply:   s.apply,
+		Save:    func() []byte { return s.batches.Save() },
+		Restore: s.restore,
+		Changed: s.roleChanged,
+		Hosts:   s.storeHosts,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.replica = r
+	s.feed = feed.New(feed.Config{Role: settings.RoleStore, Host: cfg.Site.Host, Incarnation: uint64(time.Now().UnixNano()),
+		Client: cfg.Client, Log: cfg.Log, Report: s.report, Changed: s.learned}, cfg.Site.Controls())
+	return s, nil
+}
+
+// Close releases the data folder.
+func (s *Server) Close() error { return s.replica.Close() }
+
+// Handler serves the calls of own processes.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	p := peer.NewPeerServer(s.replica.Service())
+	mux.Handle(p.PathPrefix(), p)
+	b := fleet.NewBatchesServer(s)
+	mux.Handle(b.PathPrefix(), b)
+	return mux
+}
+
+// Reseed takes the seeds of changed settings.
+func (s *Server) Reseed(seeds []string) { s.feed.Reseed(seeds) }
+
+// Run serves until ctx ends or the disk fails.
+func (s *Server) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.replica.Run(ctx) })
+	g.Go(func() error { s.feed.Run(ctx); return nil })
+	g.Go(func() error { s.driver.run(ctx); return nil })
+	g.Go(func() error { s.drop(ctx); return nil })
+	return g.Wait()
+}
+
+// learned takes in news from control.
+func (s *Server) learned(st *feed.State) {
+	s.driver.learned(st)
+	if f := st.Public.Founders; len(f) > 0 && f[0].Disk == s.replica.Disk() && s.replica.Empty() {
+		s.found(st)
+	}
+}
+
+// found founds the group that control has named.
+func (s *Server) found(st *feed.State) {
+	var members quorum.Members
+	for _, f := range st.Public.Founders {
+		members = append(members, quorum.Member{ID: quorum.NodeID(f.Disk), Addr: f.Addr})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), foundTimeout)
+	defer cancel()
+	if err := s.replica.Found(ctx, members); err != nil {
+		s.log.WithError(err).Error("could not found the store group")
+	}
+}
+
+// storeHosts lists the store hosts for the plan of the membership.
+func (s *Server) storeHosts() []replica.Host {
+	st := s.feed.State()
+	var out []replica.Host
+	for _, h := range st.Stores {
+		out = append(out, replica.Host{Name: h.Name, Zone: h.Zone, Addr: h.Addr, Disk: h.Disk, Heard: st.Heard,
+			Leaving: st.Public.Retiring[h.Name]})
+	}
+	return out
+}
+
+// report tells control of this host.
+func (s *Server) report(q *fleet.Report) {
+	site := &s.cfg.Site
+	q.Host = &fleet.Host{Name: site.Host, Zone: site.Zone, Addr: site.Internal(), Disk: s.replica.Disk(), Empty: s.replica.Empty()}
+	st := s.replica.Node().Status()
+	_, _, leads := s.replica.Node().Holds()
+	q.Replica = &fleet.Replica{Term: st.Term, Leader: leads}
+	if !leads {
+		return
+	}
+	q.Replica.Whole = true
+	for _, id := range st.Members.Voters() {
+		q.Replica.Voters = append(q.Replica.Voters, uint64(id))
+		if id != st.ID && st.Match[id] < st.Commit {
+			q.Replica.Whole = false
+		}
+	}
+}
+
+// apply runs on the control goroutine of the replica.
+func (s *Server) apply(_ uint64, data []byte) any {
+	e, err := s.batches.Apply(data)
+	if err != nil {
+		s.log.WithError(err).Error("a replicated command can not be read")
+	}
+	s.driver.applied(e)
+	if e != (batch.Effect{}) {
+		s.notify()
+	}
+	return nil
+}
+
+// roleChanged tells control soon who leads the group.
+func (s *Server) roleChanged(quorum.Status) {
+	if s.feed != nil {
+		s.driver.poke()
+	}
+}
+
+func (s *Server) restore(data []byte) error {
+	b, err := batch.Restore(data)
+	if err != nil {
+		return err
+	}
+	s.batches = b
+	return nil
+}
+
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// NotLeaderError names the leader of the group.
+type NotLeaderError struct{ Addr string }
+
+func (e *NotLeaderError) Error() string {
+	return "not the leader of the store group, the leader is " + e.Addr
+}
+
+func (s *Server) leading() error {
+	if _, _, ok := s.replica.Node().Holds(); ok {
+		return nil
+	}
+	addr := s.replica.Node().Status().LeaderAddr
+	if addr == s.cfg.Site.Internal() {
+		addr = ""
+	}
+	return &NotLeaderError{addr}
+}
+
+// onLeader runs f on the control goroutine if this process leads.
+func (s *Server) onLeader(ctx context.Context, f func()) error {
+	var inner error
+	err := s.replica.Node().Do(ctx, func() {
+		if inner = s.leading(); inner == nil {
+			f()
+		}
+	})
+	return errors.Join(err, inner)
+}
+
+// propose commits a command. A *NotLeaderError says that it was surely not
+// proposed.
+func (s *Server) propose(ctx context.Context, c *batch.Command) error {
+	if err := s.leading(); err != nil {
+		return err
+	}
+	_, err := s.replica.Node().Propose(ctx, c.Encode())
+	var not *quorum.NotLeaderError
+	if errors.As(err, &not) {
+		return &NotLeaderError{not.Addr}
+	}
+	return err
+}
+
+// drop forgets batches that need not be kept any more.
+func (s *Server) drop(ctx context.Context) {
+	tick := time.NewTicker(dropPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		var ids []string
+		err := s.onLeader(ctx, func() {
+			ids = s.batches.Expired(time.Now(), s.cfg.Site.Bounds.Keep.Duration()+dropMargin)
+		})
+		if err != nil || len(ids) == 0 {
+			continue // another host leads, or nothing is due
+		}
+		if err := s.propose(ctx, &batch.Command{Drop: ids}); err != nil {
+			s.log.WithError(err).WithField("batches", len(ids)).Warn("could not drop old batches")
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/batch/batch_test.go
@@ -0,0 +1,106 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func sample(id string, items int) *Batch {
+	b := &Batch{ID: id, Submitted: 1000}
+	for i := range items {
+		b.Items = append(b.Items, Item{ID: fmt.Sprint(id, "-", i), Body: []byte("body"), Group: fmt.Sprint(i / 2)})
+	}
+	return b
+}
+
+func apply(t interface{ Fatal(...any) }, s *Store, c *Command) Effect {
+	e, err := s.Apply(c.Encode())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// TestPositionsNeverChange lists, repeats, ends and restores at random: what
+// was read once stays as it was, and no item stands twice.
+func TestPositionsNeverChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewStore()
+		read := map[string][]Result{}
+		for step := range 60 {
+			id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "batch")
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0:
+				apply(t, s, &Command{Accept: sample(id, 6)})
+			case 1, 2:
+				item := fmt.Sprint(id, "-", rapid.IntRange(0, 7).Draw(t, "item"))
+				apply(t, s, &Command{List: &List{id, []Result{{Item: item, State: Completed, Text: fmt.Sprint(step)}}}})
+			case 3:
+				apply(t, s, &Command{End: id})
+			case 4:
+				back, err := Restore(s.Save())
+				if err != nil {
+					t.Fatal(err)
+				}
+				s = back
+			}
+			for id, b := range s.All() {
+				seen := map[string]bool{}
+				for i, r := range b.Results {
+					if seen[r.Item] {
+						t.Fatalf("item %s stands twice", r.Item)
+					}
+					seen[r.Item] = true
+					if i < len(read[id]) && read[id][i].Text != r.Text {
+						t.Fatalf("position %d changed from %+v to %+v", i, read[id][i], r)
+					}
+				}
+				if len(b.Results) < len(read[id]) {
+					t.Fatal("a result vanished")
+				}
+				read[id] = append([]Result(nil), b.Results...)
+			}
+		}
+	})
+}
+
+func TestBatchIsAcceptedOnce(t *testing.T) {
+	s := NewStore()
+	if apply(t, s, &Command{Accept: sample("a", 2)}).Accepted == nil {
+		t.Fatal("not accepted")
+	}
+	if apply(t, s, &Command{Accept: sample("a", 5)}).Accepted != nil || len(s.Get("a").Items) != 2 {
+		t.Fatal("accepted twice")
+	}
+}
+
+func TestBodiesAreDropped(t *testing.T) {
+	s := NewStore()
+	apply(t, s, &Command{Accept: sample("a", 2)})
+	apply(t, s, &Command{List: &List{"a", []Result{{Item: "a-0", State: Dead}, {Item: "other", State: Dead}}}})
+	b := s.Get("a")
+	if x, _ := b.Item("a-0"); x.Body != nil || len(b.Results) != 1 || len(b.Open()) != 1 {
+		t.Fatalf("got %+v", b)
+	}
+	if apply(t, s, &Command{End: "a"}).Ended == nil || apply(t, s, &Command{End: "a"}).Ended != nil || len(b.Open()) != 0 {
+		t.Fatal("the batch did not end once")
+	}
+}
+
+func TestExpired(t *testing.T) {
+	s := NewStore()
+	b := sample("a", 1)
+	b.Expiry = 5000
+	apply(t, s, &Command{Accept: b})
+	at := func(d time.Duration) int { return len(s.Expired(time.UnixMilli(1000).Add(d), time.Minute)) }
+	if at(62*time.Second) != 0 || at(66*time.Second) != 1 {
+		t.Fatal("an open batch is kept until its items have expired")
+	}
+	apply(t, s, &Command{End: "a"})
+	if at(59*time.Second) != 0 || at(62*time.Second) != 1 {
+		t.Fatal("an ended batch is kept for the time asked")
+	}
+}
--- /dev/null
+++ b/internal/request/forward/forward.go
@@ -0,0 +1,388 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
+
+	"github.com/plantainbank/plantainbank/internal/connection/dialect"
+	"github.com/plantainbank/plantainbank/internal/connection/place"
+	"github.com/plantainbank/plantainbank/internal/version/routing"
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
+)
+
+// Periods and limits of a request.
+const (
+	// attemptTimeout ends an attempt of a request that may be repeated, while
+	// there is another attempt: a plain call takes 25 ms on average and 190 ms
+	// at most, so a server that is silent for longer is slow or gone.
+	attemptTimeout = 400 * time.Millisecond
+	// placeWait is the longest wait for a server while all of them rest.
+	placeWait = 300 * time.Millisecond
+	// placePause is the pause between two looks for a server.
+	placePause = 10 * time.Millisecond
+	// refusalsMost bounds the servers that may refuse one request.
+	refusalsMost = 5
+	// answerMost is the largest answer in bytes that is not a stream.
+	answerMost = 32 << 20
+	// watchPeriod is how often the caller's connection is looked at.
+	watchPeriod = 100 * time.Millisecond
+	// replyMargin is the part of the time limit that the answer's way takes.
+	replyMargin = 10 * time.Millisecond
+)
+
+// ErrGone is the cause of requests whose caller has left.
+var ErrGone = errors.New("the caller has left")
+
+// Config holds what a Forwarder needs.
+type Config struct {
+	Table   *place.Table
+	Client  *attempt.Client
+	Headers dialect.Headers
+	Log     *logrus.Entry
+	Scope   tally.Scope
+	// Began counts a request that began to run.
+	Began func(workspace string)
+}
+
+// Forwarder is safe for concurrent use.
+type Forwarder struct{ cfg Config }
+
+// New returns a forwarder.
+func New(cfg Config) *Forwarder { return &Forwarder{cfg} }
+
+// Request is one request of a caller.
+type Request struct {
+	ID        string
+	Workspace string
+	Route     *routing.Route
+	// Service is the pool that the route's weights chose.
+	Service string
+	// Model is empty for requests to plain services.
+	Model string
+	// Deadline is when the caller or the route gives up, whichever is first.
+	Deadline time.Time
+	// Config is the version of the configuration that chose the route.
+	Config uint64
+	// Raw is the request as it came; its headers are changed.
+	Raw *fasthttp.Request
+	// Watch reports whether the caller has left.
+	Watch func() bool
+}
+
+// Answer is what the caller gets.
+type Answer struct {
+	// Status is set for answers of this process; else Response is.
+	Status     int
+	RetryAfter time.Duration
+	Reason     string
+	Response   *fasthttp.Response
+	// Stream holds an answer that is read on; nil for whole ones.
+	Stream *Stream
+}
+
+// Idempotent reports whether a request may run more than once.
+func (r *Request) Idempotent() bool {
+	return r.Route.Kind == routing.Idempotent || r.Route.Resumable
+}
+
+// state is what the attempts of one request have brought.
+type state struct {
+	*Request
+	// sent counts the attempts that may have run, refused those that did not.
+	sent, refused int
+	began         bool
+	avoid         map[string]bool
+	lastErr       error
+	lastServer    string
+	start         time.Time
+	// failure is a server's own failure that another attempt may better.
+	failure *Answer
+}
+
+// Do runs a request and returns its answer.
+func (f *Forwarder) Do(ctx context.Context, r *Request) *Answer {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := watch(r.Watch, cancel)
+	defer stop()
+	s := &state{Request: r, start: time.Now(), avoid: map[string]bool{}}
+	a := f.do(ctx, s)
+	f.note(s, a)
+	return a
+}
+
+// watch cancels when the caller has left.
+func watch(left func() bool, cancel context.CancelCauseFunc) (stop func()) {
+	if left == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		tick := time.NewTicker(watchPeriod)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-tick.C:
+				if left() {
+					cancel(ErrGone)
+					return
+				}
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+func (f *Forwarder) do(ctx context.Context, s *state) *Answer {
+	for {
+		slot, ok := f.place(ctx, s)
+		if !ok {
+			return f.giveUp(ctx, s)
+		}
+		a, done := f.try(ctx, s, slot)
+		if done {
+			return a
+		}
+		if !f.again(ctx, s) {
+			return f.giveUp(ctx, s)
+		}
+	}
+}
+
+// place waits a moment for a server that may take the request.
+func (f *Forwarder) place(ctx context.Context, s *state) (place.Slot, bool) {
+	want := place.Want{Service: s.Service, Avoid: s.avoid}
+	until := s.latest(time.Now().Add(placeWait))
+	for {
+		now := time.Now()
+		if slot, ok := f.cfg.Table.Take(want, now); ok {
+			return slot, true
+		}
+		if len(want.Avoid) > 0 {
+			want.Avoid = nil // one that failed before is better than none
+			continue
+		}
+		if !f.cfg.Table.Serves(want) || now.After(until) || ctx.Err() != nil {
+			return place.Slot{}, false
+		}
+		time.Sleep(placePause)
+	}
+}
+
+func (s *state) latest(t time.Time) time.Time {
+	if end := s.Deadline.Add(-replyMargin); end.Before(t) {
+		return end
+	}
+	return t
+}
+
+// again reports whether another attempt is allowed.
+func (f *Forwarder) again(ctx context.Context, s *state) bool {
+	switch {
+	case ctx.Err() != nil, time.Until(s.Deadline) <= replyMargin, s.refused >= refusalsMost:
+		return false
+	case s.sent == 0:
+		return true
+	}
+	return s.Idempotent() && s.sent < s.Route.Attempts
+}
+
+// try sends the request to a slot. done is false if another attempt may help.
+func (f *Forwarder) try(ctx context.Context, s *state, slot place.Slot) (a *Answer, done bool) {
+	s.lastServer = slot.ID
+	tryCtx, cancel := context.WithDeadline(ctx, f.until(s))
+	got, err := f.cfg.Client.Do(tryCtx, slot.Addr, f.request(s, slot), attempt.Options{
+		Fresh: !s.Idempotent(), BodyMost: answerMost, Unframed: true, Stream: true, StreamIf: isStream})
+	now := time.Now()
+	if err != nil {
+		cancel()
+		f.failed(ctx, s, slot, err, now)
+		return nil, false
+	}
+	if err := f.check(s, got); err != nil {
+		got.Close(false)
+		cancel()
+		f.failed(ctx, s, slot, err, now)
+		return nil, false
+	}
+	if busy, ok := f.load(got.Response); ok {
+		f.cfg.Table.Report(slot.ID, busy, now)
+	}
+	if refused(got.Response, f.cfg.Headers) {
+		got.Close(false)
+		cancel()
+		f.refused(s, slot, got.Response.StatusCode(), now)
+		return nil, false
+	}
+	s.began = true
+	s.sent++
+	if got.Body != nil {
+		return &Answer{Response: got.Response, Stream: newStream(f, s, slot, got, cancel)}, true
+	}
+	cancel()
+	status := got.Response.StatusCode()
+	outcome := place.Served
+	if status >= http.StatusInternalServerError {
+		outcome = place.Failed
+	}
+	f.cfg.Table.Done(slot, outcome, now.Sub(slot.Taken), now)
+	if outcome == place.Failed && s.Idempotent() && s.sent < s.Route.Attempts && time.Until(s.Deadline) > attemptTimeout {
+		s.lastErr = fmt.Errorf("the server answered %d", status)
+		s.avoid[slot.ID] = true
+		s.failure = &Answer{Response: got.Response}
+		return nil, false
+	}
+	return &Answer{Response: got.Response}, true
+}
+
+// until is when an attempt ends. The last one has all the time that is left.
+func (f *Forwarder) until(s *state) time.Time {
+	end := s.Deadline.Add(-replyMargin)
+	early := time.Now().Add(attemptTimeout)
+	if s.Idempotent() && !s.Route.Streaming && s.sent+1 < s.Route.Attempts && early.Before(end) {
+		return early
+	}
+	return end
+}
+
+// request builds the request of one attempt.
+func (f *Forwarder) request(s *state, slot place.Slot) *fasthttp.Request {
+	h := f.cfg.Headers
+	req := &fasthttp.Request{}
+	s.Raw.Header.CopyTo(&req.Header)
+	for _, name := range hopHeaders(&s.Raw.Header) {
+		req.Header.Del(name)
+	}
+	req.Header.Del("Authorization")
+	req.Header.Del(h.Priority)
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.Set(h.Instance, slot.ID)
+	req.Header.Set(h.Remaining, strconv.FormatInt(max(1, time.Until(s.Deadline).Milliseconds()), 10))
+	req.Header.Del(h.Workspace)
+	if s.Workspace != "" {
+		req.Header.Set(h.Workspace, s.Workspace)
+	}
+	req.SetBodyRaw(s.Raw.Body())
+	return req
+}
+
+// check refuses answers that can not be the server's whole answer to this
+// request.
+func (f *Forwarder) check(s *state, got *attempt.Answer) error {
+	echo := string(got.Response.Header.Peek(f.cfg.Headers.Request))
+	if echo != "" && echo != s.ID {
+		return &attempt.Error{Phase: "answer", Ran: attempt.RanUnknown, Broken: true, Err: &attempt.CrossedError{Want: s.ID, Got: echo}}
+	}
+	status := got.Response.StatusCode()
+	if status < 300 && (echo == "" || len(got.Response.Header.Peek(f.cfg.Headers.Stamp)) == 0) {
+		return &attempt.Error{Phase: "answer", Ran: attempt.RanUnknown, Broken: true, Err: errors.New("the answer is not signed")}
+	}
+	return nil
+}
+
+// failed notes an attempt without an answer.
+func (f *Forwarder) failed(ctx context.Context, s *state, slot place.Slot, err error, now time.Time) {
+	s.lastErr = err
+	s.avoid[slot.ID] = true
+	outcome := place.Broken
+	if ctx.Err() != nil {
+		outcome = place.Abandoned
+	}
+	f.cfg.Table.Done(slot, outcome, 0, now)
+	var e *attempt.Error
+	if errors.As(err, &e) && e.Ran == attempt.RanNo {
+		s.refused++
+	} else {
+		s.sent++
+		s.began = true
+	}
+	f.cfg.Scope.Counter("attempts_failed").Inc(1)
+	f.cfg.Log.WithFields(logrus.Fields{"request": s.ID, "instance": slot.ID, "sent": s.sent,
+		"took_ms": now.Sub(slot.Taken).Milliseconds()}).WithError(err).Info("attempt failed")
+}
+
+// refused notes an attempt that the server did not run.
+func (f *Forwarder) refused(s *state, slot place.Slot, status int, now time.Time) {
+	s.refused++
+	s.avoid[slot.ID] = true
+	s.lastErr = fmt.Errorf("the server did not run it and answered %d", status)
+	outcome := place.Full
+	if status == http.StatusMisdirectedRequest {
+		outcome = place.Misdirected
+	}
+	f.cfg.Table.Done(slot, outcome, 0, now)
+	f.cfg.Scope.Counter("attempts_refused").Inc(1)
+}
+
+func refused(res *fasthttp.Response, h dialect.Headers) bool {
+	return res.StatusCode() == http.StatusMisdirectedRequest || len(res.Header.Peek(h.NotRun)) > 0
+}
+
+// load reads what a server tells of its load: running, waiting, slots.
+func (f *Forwarder) load(res *fasthttp.Response) (busy int, ok bool) {
+	parts := strings.Split(string(res.Header.Peek(f.cfg.Headers.Load)), ",")
+	if len(parts) < 2 {
+		return 0, false
+	}
+	running, err1 := strconv.Atoi(strings.TrimSpace(parts[0]))
+	waiting, err2 := strconv.Atoi(strings.TrimSpace(parts[1]))
+	return running + waiting, err1 == nil && err2 == nil
+}
+
+func isStream(h *fasthttp.ResponseHeader) bool {
+	return h.StatusCode() == http.StatusOK && bytes.HasPrefix(h.ContentType(), []byte("text/event-stream"))
+}
+
+// retryPause is when a caller should come back after "not run": a server that
+// rests is looked at again after half a second.
+const retryPause = 250 * time.Millisecond
+
+// giveUp answers a request that gets no answer of a server.
+func (f *Forwarder) giveUp(ctx context.Context, s *state) *Answer {
+	switch {
+	case s.failure != nil:
+		return s.failure
+	case s.sent == 0:
+		return &Answer{Status: http.StatusServiceUnavailable, RetryAfter: retryPause, Reason: "no server could take it"}
+	case ctx.Err() != nil:
+		return &Answer{Status: http.StatusBadGateway, Reason: "the caller has left"}
+	case time.Until(s.Deadline) <= 2*replyMargin:
+		return &Answer{Status: http.StatusGatewayTimeout, Reason: "out of time"}
+	}
+	return &Answer{Status: http.StatusBadGateway, Reason: "no whole answer came"}
+}
+
+// note counts and logs what a request came to.
+func (f *Forwarder) note(s *state, a *Answer) {
+	if s.began {
+		f.cfg.Began(s.Workspace)
+	}
+	took := time.Since(s.start)
+	f.cfg.Scope.Timer("request").Record(took)
+	if a.Response != nil && s.sent+s.refused == 1 {
+		return
+	}
+	status := a.Status
+	if a.Response != nil {
+		status = a.Response.StatusCode()
+	}
+	entry := f.cfg.Log.WithFields(logrus.Fields{"request": s.ID, "route": s.Route.Name, "config": s.Config, "service": s.Service,
+		"status": status, "sent": s.sent, "refused": s.refused, "instance": s.lastServer, "reason": a.Reason,
+		"took_ms": took.Milliseconds(), "left_ms": time.Until(s.Deadline).Milliseconds()})
+	if s.lastErr != nil {
+		entry = entry.WithError(s.lastErr)
+	}
+	entry.Info("request answered")
+}
--- /dev/null
+++ b/internal/request/itemrun/run.go
@@ -0,0 +1,188 @@
+package itemrun
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/plantainbank/plantainbank/internal/connection/dialect"
+	"github.com/plantainbank/plantainbank/internal/connection/place"
+	"github.com/plantainbank/plantainbank/internal/request/batch"
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
+)
+
+// Periods of a run.
+const (
+	// firstTimeout is the longest wait for the first byte: a load of weights
+	// takes 0.9 s, several at once longer, and other items may be first.
+	firstTimeout = 3 * time.Second
+	// gapTimeout is the longest time without a byte between two events. An
+	// event takes about 45 ms, on a slow engine 200 ms, and a load of weights
+	// may stand between two.
+	gapTimeout = 2 * time.Second
+)
+
+// End is how a run ended.
+type End string
+
+// Ends of a run.
+const (
+	// Whole runs have their last event.
+	Whole End = "whole"
+	// Failed runs got an error of the engine; another run may succeed.
+	Failed End = "failed"
+	// Hopeless items can never be done.
+	Hopeless End = "hopeless"
+	// NotRun means that the engine did not begin.
+	NotRun End = "not run"
+	// Elsewhere means that another instance has the address.
+	Elsewhere End = "elsewhere"
+	// Cut runs may go on elsewhere after their last event.
+	Cut End = "cut"
+	// Stopped runs were ended by this process.
+	Stopped End = "stopped"
+)
+
+// Progress is what the runs of an item have brought so far.
+type Progress struct {
+	// Data holds the data of the events in order.
+	Data []string
+	// LastID is the number of the last event.
+	LastID string
+	// Versions are the weight versions that produced the events, in order.
+	Versions []uint64
+}
+
+// Text returns the item's text.
+func (p *Progress) Text() string { return strings.Join(p.Data, "\n") }
+
+func (p *Progress) add(e event, version uint64) {
+	p.Data = append(p.Data, e.data)
+	p.LastID = e.id
+	if !slices.Contains(p.Versions, version) {
+		p.Versions = append(p.Versions, version)
+	}
+}
+
+// Result tells how a run ended.
+type Result struct {
+	End    End
+	Status int
+	// Events is the number of events that this run added.
+	Events int
+	// Took is the time from the first byte sent to the end.
+	Took time.Duration
+	Err  error
+}
+
+// Runner runs items.
+type Runner struct {
+	Client  *attempt.Client
+	Headers dialect.Headers
+}
+
+// Run sends an item to a slot and adds what it brings to p.
+func (r *Runner) Run(ctx context.Context, slot place.Slot, b *batch.Batch, item batch.Item, p *Progress) Result {
+	start := time.Now()
+	before := len(p.Data)
+	res := r.run(ctx, slot, b, item, p)
+	res.Events = len(p.Data) - before
+	res.Took = time.Since(start)
+	if ctx.Err() != nil && res.End != Whole {
+		res.End, res.Err = Stopped, context.Cause(ctx)
+	}
+	return res
+}
+
+func (r *Runner) run(ctx context.Context, slot place.Slot, b *batch.Batch, item batch.Item, p *Progress) Result {
+	req := r.request(slot, b, item, p)
+	a, err := r.Client.Do(ctx, slot.Addr, req, attempt.Options{Stream: true, IdleTimeout: firstTimeout, Unframed: true})
+	if err != nil {
+		return cut(err)
+	}
+	if status := a.Response.StatusCode(); status != http.StatusOK {
+		defer a.Close(false)
+		return r.refused(a, status)
+	}
+	if echo := string(a.Response.Header.Peek(r.Headers.Request)); echo != "" && echo != item.ID {
+		a.Close(false)
+		return Result{End: Cut, Err: &attempt.CrossedError{Want: item.ID, Got: echo}}
+	}
+	err = r.read(a, p)
+	a.Close(err == nil)
+	if err != nil {
+		return cut(err)
+	}
+	return Result{End: Whole, Status: http.StatusOK}
+}
+
+// request builds the request for tokens.
+func (r *Runner) request(slot place.Slot, b *batch.Batch, item batch.Item, p *Progress) *fasthttp.Request {
+	req := &fasthttp.Request{}
+	req.Header.DisableNormalizing()
+	req.Header.SetMethod(http.MethodPost)
+	req.Header.SetRequestURI(item.Path)
+	req.Header.SetHost(b.Host)
+	for k, v := range item.Headers {
+		req.Header.Set(k, v)
+	}
+	req.Header.Set(r.Headers.Request, item.ID)
+	req.Header.Set(r.Headers.Instance, slot.ID)
+	if b.Workspace != "" {
+		req.Header.Set(r.Headers.Workspace, b.Workspace)
+	}
+	if p.LastID != "" {
+		req.Header.Set(r.Headers.ResumeAfter, p.LastID)
+	}
+	req.SetBodyRaw(item.Body)
+	return req
+}
+
+// refused tells what an answer without a stream means.
+func (r *Runner) refused(a *attempt.Answer, status int) Result {
+	err := fmt.Errorf("the engine answered %d", status)
+	notRun := len(a.Response.Header.Peek(r.Headers.NotRun)) > 0
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return Result{End: Elsewhere, Status: status, Err: err}
+	case notRun:
+		return Result{End: NotRun, Status: status, Err: err}
+	case status == http.StatusUnprocessableEntity:
+		return Result{End: Hopeless, Status: status, Err: err}
+	}
+	return Result{End: Failed, Status: status, Err: err}
+}
+
+// read takes in the events of a stream.
+func (r *Runner) read(a *attempt.Answer, p *Progress) error {
+	a.SetIdleTimeout(gapTimeout)
+	version, err := strconv.ParseUint(string(a.Response.Header.Peek(r.Headers.Versions)), 10, 64)
+	if err != nil {
+		return errors.New("the engine does not name its weight version")
+	}
+	events := newReader(bufio.NewReader(a.Body), r.Headers.Versions)
+	for {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if e.version != 0 {
+			version = e.version
+		}
+		p.add(e, version)
+	}
+}
+
+func cut(err error) Result { return Result{End: Cut, Err: err} }
--- /dev/null
+++ b/internal/version/routing/table.go
@@ -0,0 +1,89 @@
+package routing
+
+import (
+	"slices"
+	"strings"
+)
+
+// Table answers the questions of requests. It is immutable.
+type Table struct {
+	Config *Config
+	// byHost holds each host's routes, longest prefix first.
+	byHost   map[string][]*Route
+	services map[string]*Service
+	holders  map[string]*Workspace
+}
+
+// NewTable indexes a checked configuration.
+func NewTable(c *Config) *Table {
+	t := &Table{Config: c, byHost: map[string][]*Route{}, services: map[string]*Service{}, holders: map[string]*Workspace{}}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Workspaces {
+		for _, key := range c.Workspaces[i].Keys {
+			t.holders[key] = &c.Workspaces[i]
+		}
+	}
+	return t
+}
+
+// Route returns the route of a request, or nil.
+func (t *Table) Route(host, path string) *Route {
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Named returns the route with a name, or nil.
+func (t *Table) Named(name string) *Route {
+	for i := range t.Config.Routes {
+		if t.Config.Routes[i].Name == name {
+			return &t.Config.Routes[i]
+		}
+	}
+	return nil
+}
+
+// HasHost reports whether any route has the host.
+func (t *Table) HasHost(host string) bool { return len(t.byHost[host]) > 0 }
+
+// Service returns the service with a name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Holder returns the workspace that holds a key, or nil.
+func (t *Table) Holder(key string) *Workspace { return t.holders[key] }
+
+// Keyed reports whether requests need keys at all.
+func (t *Table) Keyed() bool { return len(t.Config.Workspaces) > 0 }
+
+// Choose returns the service for a number drawn from 0 to 1.
+func (r *Route) Choose(draw float64) string {
+	sum := 0.0
+	for _, t := range r.Targets {
+		sum += t.Weight
+	}
+	at := draw * sum
+	for _, t := range r.Targets {
+		at -= t.Weight
+		if at < 0 && t.Weight > 0 {
+			return t.Service
+		}
+	}
+	for _, t := range slices.Backward(r.Targets) {
+		if t.Weight > 0 {
+			return t.Service
+		}
+	}
+	return ""
+}
--- a/pkg/process/control/control.go
+++ b/pkg/process/control/control.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -23,6 +22,7 @@
 	"github.com/plantainbank/plantainbank/pkg/process/fleet"
 	"github.com/plantainbank/plantainbank/pkg/process/ledger"
 	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+	"github.com/plantainbank/plantainbank/pkg/process/replica"
 	"github.com/plantainbank/plantainbank/pkg/process/settings"
 	pb "github.com/plantainbank/plantainbank/service/control"
 	"github.com/plantainbank/plantainbank/service/peer"
@@ -37,7 +37,10 @@
 	node       *quorum.Node
 	ledger     *ledger.Ledger
 	leadership *leadership
-	peers      *transport
+	peers      *replica.Transport
+	// scheme and client reach the other control processes.
+	scheme string
+	client *http.Client
 	// changed is closed and replaced whenever waiting requests should look
 	// again.
 	changed chan struct{}
@@ -85,7 +88,7 @@
 	s := &Server{cfg: cfg, log: o.Log, scope: o.Scope, disk: d, page: o.Page, ledger: ledger.New(),
 		changed: make(chan struct{}), timing: o.Timing,
 		fleet: fleet.New(cfg.Headroom, fleetScaleDownDelay, fleetShort)}
-	persisted, err := decodeSaved(saved)
+	persisted, err := replica.DecodeSaved(saved)
 	if err != nil {
 		d.Close()
 		return nil, err
@@ -94,10 +97,13 @@
 	if saved.CutBytes > 0 {
 		o.Log.WithField("bytes", saved.CutBytes).Warn("removed an unfinished write from the end of the log")
 	}
-	if s.peers, err = newTransport(cfg); err != nil {
+	client, scheme, err := cfg.TLS.Client()
+	if err != nil {
 		d.Close()
 		return nil, err
 	}
+	s.scheme, s.client = scheme, client
+	s.peers = replica.NewTransport(client, scheme, cfg.Listen)
 	if err := s.newNode(persisted, o.Timing); err != nil {
 		d.Close()
 		return nil, err
@@ -240,64 +246,11 @@
 	}
 }
 
-// savedHard is the encoded form of a quorum.HardState.
-type savedHard struct {
-	Term uint64 `json:"term"`
-	Vote uint64 `json:"vote"`
-}
-
-func decodeSaved(saved *disk.Saved) (quorum.Persisted, error) {
-	var p quorum.Persisted
-	if len(saved.Hard) > 0 {
-		var h savedHard
-		if err := json.Unmarshal(saved.Hard, &h); err != nil {
-			return p, err
-		}
-		p.Hard = quorum.HardState{Term: h.Term, Vote: quorum.NodeID(h.Vote)}
-	}
-	if saved.Snapshot != nil {
-		if err := json.Unmarshal(saved.Snapshot, &p.Snapshot); err != nil {
-			return p, err
-		}
-	}
-	for i, data := range saved.Entries {
-		e, err := decodeEntry(saved.First+uint64(i), data)
-		if err != nil {
-			return p, err
-		}
-		p.Entries = append(p.Entries, e)
-	}
-	return p, nil
-}
-
 func (s *Server) persist(r quorum.Ready) error {
-	if r.Snapshot != nil {
-		if err := s.saveSnapshot(*r.Snapshot); err != nil {
-			return err
-		}
-	}
-	var b disk.Batch
-	if r.Hard != nil {
-		data, err := json.Marshal(savedHard{r.Hard.Term, uint64(r.Hard.Vote)})
-		if err != nil {
-			return err
-		}
-		b.Hard = data
-	}
-	for _, e := range r.Entries {
-		b.Entries = append(b.Entries, encodeEntry(e))
-	}
-	if len(r.Entries) > 0 {
-		b.First = r.Entries[0].Index
-	}
 	s.scope.Counter("disk_syncs").Inc(1)
-	return s.disk.Append(b)
+	return replica.Persist(s.disk, r)
 }
 
 func (s *Server) saveSnapshot(snap quorum.Snapshot) error {
-	data, err := json.Marshal(snap)
-	if err != nil {
-		return err
-	}
-	return s.disk.SaveSnapshot(snap.Index, data)
+	return replica.SaveSnapshot(s.disk, snap)
 }
--- a/pkg/process/control/membership.go
+++ b/pkg/process/control/membership.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		askCtx, cancel := context.WithTimeout(ctx, helloTimeout)
-		id, err := s.peers.peer(addr).Hello(askCtx, &peer.Empty{})
+		id, err := s.peers.Peer(addr).Hello(askCtx, &peer.Empty{})
 		cancel()
 		if err != nil || !id.Empty {
 			empty = false
@@ -88,7 +88,7 @@
 			continue
 		}
 		askCtx, cancel := context.WithTimeout(ctx, helloTimeout)
-		_, err := pb.NewControlProtobufClient(s.peers.scheme+addr, s.peers.client).ChangeMember(askCtx, change)
+		_, err := pb.NewControlProtobufClient(s.scheme+addr, s.client).ChangeMember(askCtx, change)
 		cancel()
 		if err == nil {
 			return
--- a/pkg/process/logs/logs.go
+++ b/pkg/process/logs/logs.go
@@ -3,15 +3,19 @@
 package logs
 
 import (
+	"io"
 	"os"
 
 	"github.com/sirupsen/logrus"
 )
 
 // New returns a logger that writes JSON lines to standard error.
-func New(level, role, host string) *logrus.Entry {
+func New(level, role, host string) *logrus.Entry { return NewTo(os.Stderr, level, role, host) }
+
+// NewTo returns a logger that writes JSON lines to out.
+func NewTo(out io.Writer, level, role, host string) *logrus.Entry {
 	l := logrus.New()
-	l.SetOutput(os.Stderr)
+	l.SetOutput(out)
 	l.SetFormatter(&logrus.JSONFormatter{})
 	if parsed, err := logrus.ParseLevel(level); err == nil {
 		l.SetLevel(parsed)
--- a/pkg/process/quorum/node.go
+++ b/pkg/process/quorum/node.go
@@ -28,6 +28,12 @@
 	SaveSnapshot func(Snapshot) error
 	// SnapshotEvery is the number of applied entries between two snapshots.
 	SnapshotEvery uint64
+	// Suspended returns how long the machine has been suspended in all; nil
+	// means never.
+	Suspended func() time.Duration
+	// SnapshotBytes is the size of the applied commands between two snapshots;
+	// zero means that only their number counts.
+	SnapshotBytes int
 	// Changed is called on the node's goroutine when the role, the term, the
 	// leader or the membership changes. It may be nil.
 	Changed func(Status)
@@ -48,6 +54,9 @@
 	LeaseUntil time.Time
 	// Match is the persisted index of each peer, on the leader only.
 	Match map[NodeID]uint64
+	// Heard is the time of each peer's latest answer, on the leader only. A
+	// peer that has not answered yet has the time since which it is a peer.
+	Heard map[NodeID]time.Time
 }
 
 // Node drives a Core with a clock, a disk and a transport. All state is owned
@@ -61,6 +70,10 @@
 	waiting map[uint64]waiter
 	done    chan struct{}
 	saved   uint64
+	// bytes is the size of the commands applied since the last snapshot.
+	bytes int
+	// suspended is what Config.Suspended told last.
+	suspended atomic.Int64
 }
 
 // waiter is a proposal that is not yet applied.
@@ -75,6 +88,9 @@
 	callsSize  = 1024
 	batchMost  = 512
 	tickPeriod = 50 * time.Millisecond
+	// suspendedLeast is the shortest suspension that ends a leadership; the
+	// election timeout exceeds the lease by more.
+	suspendedLeast = 100 * time.Millisecond
 )
 
 // NewNode returns a node; Run starts it.
@@ -84,6 +100,9 @@
 			return nil, err
 		}
 	}
+	if cfg.Suspended == nil {
+		cfg.Suspended = func() time.Duration { return 0 }
+	}
 	n := &Node{
 		cfg:     cfg,
 		core:    NewCore(cfg.ID, cfg.Timing, cfg.Seed, cfg.Persisted, time.Now()),
@@ -93,6 +112,7 @@
 		done:    make(chan struct{}),
 		saved:   cfg.Persisted.Snapshot.Index,
 	}
+	n.suspended.Store(int64(cfg.Suspended()))
 	n.publish()
 	return n, nil
 }
@@ -108,6 +128,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+			n.noticeSuspension()
 			n.core.Tick(time.Now())
 		case m := <-n.inbox:
 			n.core.Step(m, time.Now())
@@ -122,6 +143,24 @@
 	}
 }
 
+// noticeSuspension gives up the leadership after the machine was suspended:
+// the lease ran on while the steady clock stood still.
+func (n *Node) noticeSuspension() {
+	if !n.wasSuspended() {
+		return
+	}
+	n.suspended.Store(int64(n.cfg.Suspended()))
+	if n.core.role == Leader {
+		n.core.becomeFollower(n.core.hard.Term, 0, time.Now())
+	}
+}
+
+// wasSuspended reports whether the machine was suspended since the last look.
+func (n *Node) wasSuspended() bool {
+	d := n.cfg.Suspended() - time.Duration(n.suspended.Load())
+	return d > suspendedLeast || d < -suspendedLeast
+}
+
 func (n *Node) drainInbox() {
 	for range batchMost {
 		select {
@@ -185,6 +224,7 @@
 
 func (n *Node) apply(e Entry) {
 	var result any
+	n.bytes += len(e.Data)
 	if e.Kind == EntryCommand {
 		result = n.cfg.Apply(e.Index, e.Data)
 	}
@@ -216,14 +256,24 @@
 }
 
 func (n *Node) maybeSnapshot() error {
-	if n.cfg.SnapshotEvery == 0 || n.core.applied < n.saved+n.cfg.SnapshotEvery {
+	if !n.snapshotDue() {
 		return nil
 	}
+	n.bytes = 0
 	snap := n.core.Compact(n.core.applied, n.cfg.Save())
 	n.saved = snap.Index
 	return n.cfg.SaveSnapshot(snap)
 }
 
+func (n *Node) snapshotDue() bool {
+	if n.core.applied <= n.saved {
+		return false
+	}
+	many := n.cfg.SnapshotEvery > 0 && n.core.applied >= n.saved+n.cfg.SnapshotEvery
+	large := n.cfg.SnapshotBytes > 0 && n.bytes >= n.cfg.SnapshotBytes
+	return many || large
+}
+
 func (n *Node) publish() {
 	c := n.core
 	s := Status{ID: c.id, Role: c.role, Term: c.hard.Term, Leader: c.leader, LeaderAddr: c.addr(c.leader),
@@ -233,8 +283,10 @@
 	}
 	if c.role == Leader {
 		s.Match = map[NodeID]uint64{}
+		s.Heard = map[NodeID]time.Time{}
 		for id, p := range c.peers {
 			s.Match[id] = p.match
+			s.Heard[id] = p.heard
 		}
 	}
 	old := n.status.Swap(&s)
@@ -251,7 +303,7 @@
 func (n *Node) Holds() (term uint64, left time.Duration, ok bool) {
 	s := n.status.Load()
 	left = time.Until(s.LeaseUntil)
-	return s.Term, left, s.Role == Leader && left > 0
+	return s.Term, left, s.Role == Leader && left > 0 && !n.wasSuspended()
 }
 
 // Deliver takes in a message from the transport. A full inbox drops it.
--- a/pkg/request/attempt/attempt.go
+++ b/pkg/request/attempt/attempt.go
@@ -13,6 +13,8 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -56,6 +58,8 @@
 	idleMost       = 64
 	idleLongest    = 5 * time.Second
 	bufferBytes    = 16 << 10
+	// keepAliveMargin covers the way of a request and the clocks' drift.
+	keepAliveMargin = 500 * time.Millisecond
 )
 
 // Client keeps idle connections to the backend servers.
@@ -72,6 +76,8 @@
 	br   *bufio.Reader
 	bw   *bufio.Writer
 	used time.Time
+	// idle is how long the server keeps the connection open unused.
+	idle time.Duration
 	// idleTimeout bounds each read and write; zero means no bound.
 	idleTimeout time.Duration
 }
@@ -116,7 +122,7 @@
 		if x == nil {
 			break
 		}
-		if time.Since(x.used) < idleLongest && socket.Peek(x.Conn) == socket.Quiet {
+		if time.Since(x.used) < x.idle && socket.Peek(x.Conn) == socket.Quiet {
 			return x, nil
 		}
 		x.Close()
@@ -125,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &conn{Conn: raw}
+	x := &conn{Conn: raw, idle: idleLongest}
 	x.br = bufio.NewReaderSize(x, bufferBytes)
 	x.bw = bufio.NewWriterSize(x, bufferBytes)
 	return x, nil
@@ -154,6 +160,13 @@
 	c.idle[addr] = append(c.idle[addr], x)
 }
 
+// Idle reports whether there is an idle connection to an address.
+func (c *Client) Idle(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.idle[addr]) > 0
+}
+
 // CloseIdle closes the connections that were idle for too long.
 func (c *Client) CloseIdle() {
 	c.mu.Lock()
@@ -161,7 +174,7 @@
 	for addr, all := range c.idle {
 		kept := all[:0]
 		for _, x := range all {
-			if time.Since(x.used) < idleLongest {
+			if time.Since(x.used) < x.idle {
 				kept = append(kept, x)
 			} else {
 				x.Close()
@@ -179,9 +192,14 @@
 	Response *fasthttp.Response
 	// Body reads a streamed answer. Close must be called.
 	Body io.Reader
+	conn *conn
 	done func(whole bool)
 }
 
+// SetIdleTimeout changes the longest time without any byte of a streamed
+// answer.
+func (a *Answer) SetIdleTimeout(d time.Duration) { a.conn.idleTimeout = d }
+
 // Close ends the use of the connection. whole says that the answer was read to
 // its end.
 func (a *Answer) Close(whole bool) {
@@ -198,10 +216,15 @@
 	Fresh bool
 	// Stream returns once the header is there.
 	Stream bool
+	// StreamIf limits Stream to the answers that it approves; nil approves all.
+	StreamIf func(*fasthttp.ResponseHeader) bool
 	// IdleTimeout is the longest time without any byte of the answer.
 	IdleTimeout time.Duration
 	// BodyMost is the largest whole answer in bytes.
 	BodyMost int
+	// Unframed allows a body that ends with its connection. Only a clean end
+	// counts as whole; a reset does not.
+	Unframed bool
 }
 
 // Do sends req to addr and reads the answer. The error is an *Error. The
@@ -224,9 +247,10 @@
 			x.Close()
 			return
 		}
+		x.idle = keepAlive(a.Response)
 		c.putIdle(addr, x)
 	}
-	if !o.Stream {
+	if a.Body == nil {
 		a.Close(true)
 	}
 	return a, nil
@@ -251,11 +275,14 @@
 	if err := readHeader(res, x.br); err != nil {
 		return nil, &Error{Phase: "receive", Ran: RanUnknown, Broken: true, Err: err}
 	}
+	if o.Stream && o.StreamIf != nil && !o.StreamIf(&res.Header) {
+		o.Stream, res.StreamBody = false, false
+	}
 	if err := readBody(res, x.br, o); err != nil {
 		return nil, &Error{Phase: "answer", Ran: RanYes, Broken: broken(err), Err: err}
 	}
-	a := &Answer{Response: res}
-	if o.Stream {
+	a := &Answer{Response: res, conn: x}
+	if o.Stream && !res.SkipBody && !bodyless(res.StatusCode()) {
 		a.Body = res.BodyStream()
 	}
 	return a, nil
@@ -273,7 +300,7 @@
 		return nil
 	}
 	if res.Header.ContentLength() == unframed {
-		return errUnframed
+		return readUnframed(res, br, o)
 	}
 	if err := res.ReadBody(br, o.BodyMost); err != nil {
 		return err
@@ -288,6 +315,36 @@
 	return err
 }
 
+// readUnframed reads up to the end of the connection.
+func readUnframed(res *fasthttp.Response, br *bufio.Reader, o Options) error {
+	if !o.Unframed {
+		return errUnframed
+	}
+	res.SetConnectionClose()
+	if o.Stream {
+		res.SetBodyStream(br, unframed)
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(br, int64(o.BodyMost)))
+	if err != nil {
+		return err
+	}
+	res.SetBodyRaw(body)
+	return nil
+}
+
+// keepAlive returns how long the server keeps an unused connection open, with
+// a margin for the way.
+func keepAlive(res *fasthttp.Response) time.Duration {
+	for _, part := range strings.Split(string(res.Header.Peek("Keep-Alive")), ",") {
+		seconds, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if n, err := strconv.Atoi(seconds); ok && err == nil {
+			return time.Duration(n)*time.Second - keepAliveMargin
+		}
+	}
+	return idleLongest
+}
+
 // readHeader skips informational answers.
 func readHeader(res *fasthttp.Response, br *bufio.Reader) error {
 	for {
