Use idle connections again whose last read was bounded

Cause: the read bound of the last answer stayed on an idle connection; once it had passed, the look at the socket failed and the connection counted as closed. Ruled out: answers without a length, Connection: close, the idle time that servers name (10 s). Change: clear the bound when a connection becomes idle; a request without an answer in time no longer makes a server rest that answers others. The test failed first (3 connections for 3 requests).

--- a/internal/connection/place/table.go
+++ b/internal/connection/place/table.go
@@ -20,6 +20,9 @@
 	busyRest = 120 * time.Millisecond
 	// loadingRest follows a refusal while weights load, which takes 0.9 s.
 	loadingRest = 250 * time.Millisecond
+	// lateMost is the requests in a row without an answer that make a server
+	// count as broken.
+	lateMost = 2
 	// paceWeight is the weight of one sample in the moving average.
 	paceWeight = 0.25
 	// paceLeast and paceMost bound how much a pace counts against the others.
@@ -47,6 +50,8 @@
 	Loading Outcome = "loading"
 	// Broken means no answer, or not a whole one.
 	Broken Outcome = "broken"
+	// Late means that no answer came in time over a sound connection.
+	Late Outcome = "late"
 	// Misdirected requests met another instance.
 	Misdirected Outcome = "misdirected"
 	// Abandoned requests were given up by their caller.
@@ -62,6 +67,10 @@
 	// restUntil ends a rest, failures counts the breaks since the last answer.
 	restUntil time.Time
 	failures  int
+	// served is when the server last answered, late counts the requests since
+	// then that it left without an answer.
+	served time.Time
+	late   int
 	// probing is true while the only request after a rest runs.
 	probing bool
 	// credit and credited are the requests that a cold server may get.
@@ -296,7 +305,7 @@
 	if pace > 0 {
 		s.addPace(pace)
 	}
-	s.settle(o, now)
+	s.settle(x, o, now)
 }
 
 func (s *server) addPace(pace time.Duration) {
@@ -308,24 +317,37 @@
 }
 
 // settle lets a server rest or clears its past.
-func (s *server) settle(o Outcome, now time.Time) {
+func (s *server) settle(x Slot, o Outcome, now time.Time) {
 	switch o {
 	case Served:
-		s.failures, s.restUntil = 0, time.Time{}
+		s.failures, s.restUntil, s.late, s.served = 0, time.Time{}, 0, now
+	case Late:
+		// A server that answers others meanwhile is sound: this request is slow.
+		if s.served.After(x.Taken) {
+			return
+		}
+		if s.late++; s.late >= lateMost {
+			s.breakDown(now)
+		}
 	case Full:
 		s.restUntil = later(s.restUntil, now.Add(busyRest))
 	case Loading:
 		s.restUntil = later(s.restUntil, now.Add(loadingRest))
 	case Broken, Misdirected:
-		// The requests that break together count as one failure.
-		if now.Before(s.restUntil) {
-			return
-		}
-		s.failures++
-		s.coldSince = now
-		rest := restLeast << min(s.failures-1, 8)
-		s.restUntil = now.Add(min(rest, restMost))
+		s.breakDown(now)
+	}
+}
+
+// breakDown lets a server rest. The requests that break together count as one
+// failure.
+func (s *server) breakDown(now time.Time) {
+	if now.Before(s.restUntil) {
+		return
 	}
+	s.failures++
+	s.coldSince = now
+	rest := restLeast << min(s.failures-1, 8)
+	s.restUntil = now.Add(min(rest, restMost))
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -297,8 +297,11 @@
 	s.lastErr = err
 	s.avoid[slot.ID] = true
 	outcome := place.Broken
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		outcome = place.Abandoned
+	case errors.Is(err, context.DeadlineExceeded):
+		outcome = place.Late
 	}
 	f.cfg.Table.Done(slot, outcome, 0, now)
 	var e *attempt.Error
--- a/pkg/request/attempt/attempt.go
+++ b/pkg/request/attempt/attempt.go
@@ -151,6 +151,10 @@
 
 func (c *Client) putIdle(addr string, x *conn) {
 	x.used = time.Now()
+	if err := x.SetDeadline(time.Time{}); err != nil {
+		x.Close()
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle[addr]) >= idleMost {
--- a/pkg/request/attempt/attempt_test.go
+++ b/pkg/request/attempt/attempt_test.go
@@ -256,3 +256,24 @@
 		t.Fatalf("error is %v", err)
 	}
 }
+
+// TestConnectionIsUsedAgainAfterItsReadBound keeps a connection idle for
+// longer than the bound of its last read: the bound of the past must not make
+// it look closed.
+func TestConnectionIsUsedAgainAfterItsReadBound(t *testing.T) {
+	s := serve(t, func(c net.Conn, _ int) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	c := NewClient()
+	const bound = 20 * time.Millisecond
+	for range 3 {
+		if _, err := c.Do(context.Background(), s.lis.Addr().String(), post("x"), Options{IdleTimeout: bound}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * bound)
+	}
+	if n := s.conns.Load(); n != 1 {
+		t.Fatalf("%d connections for three requests, want 1", n)
+	}
+}
