Be back sooner after all processes ended

Change: elections within 0.5 to 1 s; the roster is kept in the log; a host without any roster gets what there is; the leader is searched for with short calls that skip silent processes; a caller waits up to half of its time for the first configuration.

--- a/internal/process/catalog/catalog.go
+++ b/internal/process/catalog/catalog.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 
+	"github.com/plantainbank/plantainbank/internal/process/roster"
 	"github.com/plantainbank/plantainbank/internal/version/routing"
 )
 
@@ -28,6 +29,9 @@
 	Windows map[uint64]*Window `json:"windows,omitempty"`
 	// Floor is below every window that may still be closed.
 	Floor uint64 `json:"floor"`
+	// Instances are the backend servers as a leader knew them last, so that
+	// requests find servers again right after all processes were restarted.
+	Instances []roster.Instance `json:"instances,omitempty"`
 }
 
 // Public is the part that every host of the system has.
@@ -68,6 +72,8 @@
 	Close  *WindowClose `json:"close,omitempty"`
 	// Sent is the number of a window that was reported.
 	Sent uint64 `json:"sent,omitempty"`
+	// Instances are kept for the next leader.
+	Instances []roster.Instance `json:"instances,omitempty"`
 }
 
 // ConfigChange submits a configuration.
@@ -153,6 +159,8 @@
 		c.Token, c.Holder = index, x.Office
 	case x.Close != nil:
 		c.closeWindow(x.Close)
+	case x.Instances != nil:
+		c.Instances = x.Instances
 	case x.Sent != 0:
 		if w := c.Windows[x.Sent]; w != nil {
 			w.Sent = true
--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -221,6 +221,7 @@
 		if s.feed != nil {
 			s.office.roster.Load(s.feed.State().Instances, time.Now())
 		}
+		s.office.roster.Load(s.catalog.Instances, time.Now())
 	}
 }
 
--- a/internal/process/director/duty.go
+++ b/internal/process/director/duty.go
@@ -55,6 +55,7 @@
 		s.notify()
 	}
 	s.foundStores(o, now)
+	s.keepRoster(ctx, o, now)
 	if !s.opened(ctx, o, now) {
 		return
 	}
@@ -62,6 +63,30 @@
 	s.reportUsage(ctx, o, now)
 }
 
+// keepRoster writes the roster to the log, so that the next leader starts with
+// it even if all processes end.
+func (s *Server) keepRoster(ctx context.Context, o *office, now time.Time) {
+	if o.keeping || o.kept == o.roster.Revision || now.Sub(o.keptAt) < keepPeriod || !s.rosterFit(o, now) {
+		return
+	}
+	o.keeping = true
+	revision, all := o.roster.Revision, o.roster.All()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, openTimeout)
+		defer cancel()
+		err := s.propose(ctx, &catalog.Command{Instances: all})
+		doErr := s.do(context.WithoutCancel(ctx), func() {
+			o.keeping, o.keptAt = false, time.Now()
+			if err == nil {
+				o.kept = revision
+			}
+		})
+		if err = errors.Join(err, doErr); err != nil {
+			s.log.WithError(err).WithField("roster", revision).Warn("the roster is not kept yet")
+		}
+	}()
+}
+
 // opened reports whether this office may act: its token stands in the log, and
 // a former holder's time is over.
 func (s *Server) opened(ctx context.Context, o *office, now time.Time) bool {
--- a/internal/process/director/office.go
+++ b/internal/process/director/office.go
@@ -14,6 +14,8 @@
 	// hostLive is how long a host counts as there after its latest report; it
 	// reports every 0.8 s.
 	hostLive = 2500 * time.Millisecond
+	// keepPeriod is the least time between two writes of the roster to the log.
+	keepPeriod = time.Second
 	// settleTime is how long a new leader withholds its roster if it had no
 	// copy: two announcement periods of 1.2 s.
 	settleTime = 2600 * time.Millisecond
@@ -36,6 +38,11 @@
 	closing bool
 	// fenced is when a call was refused for an old token.
 	fenced time.Time
+	// kept is the roster's revision that was written to the log last, and
+	// keptAt when that was.
+	kept    uint64
+	keptAt  time.Time
+	keeping bool
 	// founding is when enough store hosts were there first.
 	founding time.Time
 }
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -74,7 +74,13 @@
 }
 
 func (s *Server) isNews(o *office, q *fleet.Report, now time.Time) bool {
-	return q.Leaving || q.Catalog < s.catalog.Revision || s.rosterFit(o, now) && q.Roster < o.roster.Revision
+	return q.Leaving || q.Catalog < s.catalog.Revision || s.lacksRoster(o, q, now)
+}
+
+// lacksRoster reports whether a host should get the roster. A host without any
+// gets what there is.
+func (s *Server) lacksRoster(o *office, q *fleet.Report, now time.Time) bool {
+	return q.Roster < o.roster.Revision && (q.Roster == 0 || s.rosterFit(o, now))
 }
 
 // rosterFit reports whether the roster may replace the copies of hosts: a new
@@ -89,7 +95,7 @@
 	if q.Catalog < s.catalog.Revision {
 		n.State = encode(s.catalog.Public)
 	}
-	if s.rosterFit(o, now) && q.Roster < o.roster.Revision {
+	if s.lacksRoster(o, q, now) {
 		n.Roster, n.Instances = o.roster.Revision, encode(o.roster.All())
 	}
 	n.Stores = hostsOf(o.live(settings.RoleStore, now))
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -25,7 +25,13 @@
 	// old a host's reports are, and how late a silent connection is noticed.
 	wait = 800 * time.Millisecond
 	// answerTimeout is added to the wait.
-	answerTimeout = 600 * time.Millisecond
+	answerTimeout = 500 * time.Millisecond
+	// searchTimeout bounds a call that looks for the leader: a frozen process
+	// accepts connections and never answers, and calls must not queue behind it.
+	searchTimeout = 250 * time.Millisecond
+	// failedRest is how long a process that did not answer is not asked again
+	// while there are others.
+	failedRest = 700 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 30 * time.Millisecond
 	retryMost  = 300 * time.Millisecond
@@ -78,8 +84,12 @@
 	mu    sync.Mutex
 	// seeds come from the settings, known from the leader.
 	seeds, known []string
-	lead         string
-	next         int
+	// lead is the process to ask; proven is true once it has answered.
+	lead   string
+	proven bool
+	next   int
+	// silent is when a process failed to answer.
+	silent map[string]time.Time
 	// hurry ends the call that waits.
 	hurry context.CancelFunc
 	// lost is true while no control process answers.
@@ -90,7 +100,7 @@
 
 // New returns a feed that has heard nothing.
 func New(cfg Config, seeds []string) *Feed {
-	f := &Feed{cfg: cfg, seeds: seeds, pause: retryLeast}
+	f := &Feed{cfg: cfg, seeds: seeds, pause: retryLeast, silent: map[string]time.Time{}}
 	f.state.Store(&State{})
 	return f
 }
@@ -124,10 +134,10 @@
 
 // Once asks one control process, and pauses if that gave nothing.
 func (f *Feed) Once(ctx context.Context) {
-	addr := f.target()
+	addr, proven := f.target(time.Now())
 	err := errUnknown
 	if addr != "" {
-		err = f.ask(ctx, addr)
+		err = f.ask(ctx, addr, proven)
 	}
 	if err == nil {
 		f.pause = retryLeast
@@ -152,12 +162,13 @@
 	return hurried
 }
 
-// target returns the leader if it is known, and else the next address.
-func (f *Feed) target() string {
+// target returns the leader if it is known, and else the next process that was
+// not silent lately. proven tells that it has answered as the leader.
+func (f *Feed) target(now time.Time) (addr string, proven bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.lead != "" {
-		return f.lead
+		return f.lead, f.proven
 	}
 	var all []string
 	for _, a := range slices.Concat(f.known, f.seeds) {
@@ -165,53 +176,75 @@
 			all = append(all, a)
 		}
 	}
+	for range all {
+		f.next++
+		if a := all[f.next%len(all)]; now.Sub(f.silent[a]) > failedRest {
+			return a, false
+		}
+	}
 	if len(all) == 0 {
-		return ""
+		return "", false
 	}
-	f.next++
-	return all[f.next%len(all)]
+	return all[f.next%len(all)], false
 }
 
-// failed notes a failure; it returns true if another address is worth asking
+// failed notes a failure; it returns true if another process is worth asking
 // at once.
 func (f *Feed) failed(ctx context.Context, addr string, err error) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.lead, f.proven = "", false
 	var e twirp.Error
-	lead := ""
-	if errors.As(err, &e) {
-		lead = e.Meta(LeaderMeta)
-	}
-	follow := lead != "" && lead != addr && lead != f.lead && lead != f.cfg.Self
-	f.lead = ""
-	if follow {
-		f.lead = lead
-		return true
+	if errors.As(err, &e) && e.Code() == twirp.FailedPrecondition {
+		return f.follow(addr, e.Meta(LeaderMeta))
 	}
+	f.silent[addr] = time.Now()
 	if !f.lost && ctx.Err() == nil {
 		f.lost = true
 		f.cfg.Log.WithError(err).WithFields(logrus.Fields{"control": addr, "catalog": f.State().Catalog}).
 			Warn("lost control, going on with what is known")
 	}
-	return false
+	return f.anyFresh()
+}
+
+// follow takes the leader that another process names, unless it was silent.
+func (f *Feed) follow(addr, lead string) bool {
+	if lead == "" || lead == addr || lead == f.cfg.Self || time.Since(f.silent[lead]) <= failedRest {
+		return false
+	}
+	f.lead = lead
+	return true
+}
+
+// anyFresh reports whether there is a process that was not silent lately.
+func (f *Feed) anyFresh() bool {
+	return slices.ContainsFunc(slices.Concat(f.known, f.seeds), func(a string) bool {
+		return a != f.cfg.Self && time.Since(f.silent[a]) > failedRest
+	})
 }
 
 func (f *Feed) regained(addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lead = addr
+	f.lead, f.proven = addr, true
+	delete(f.silent, addr)
 	if f.lost {
 		f.lost = false
 		f.cfg.Log.WithField("control", addr).Info("regained control")
 	}
 }
 
-func (f *Feed) ask(ctx context.Context, addr string) error {
+// ask reports and takes what comes. Only a proven leader is asked to wait.
+func (f *Feed) ask(ctx context.Context, addr string, proven bool) error {
+	hold, limit := wait, wait+answerTimeout
+	if !proven {
+		hold, limit = 0, searchTimeout
+	}
 	s := f.State()
 	q := &fleet.Report{Role: f.cfg.Role, Incarnation: f.cfg.Incarnation, Term: s.Term, Catalog: s.Catalog, Roster: s.Roster,
-		Waitms: uint32(wait / time.Millisecond), Host: &fleet.Host{Name: f.cfg.Host}}
+		Waitms: uint32(hold / time.Millisecond), Host: &fleet.Host{Name: f.cfg.Host}}
 	f.cfg.Report(q)
-	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	f.mu.Lock()
 	f.hurry = cancel
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,11 +44,15 @@
 	usage     *usage
 	batches   *batches
 	leaving   atomic.Bool
+	// known is closed once a configuration and the servers are known.
+	known     chan struct{}
+	knownOnce sync.Once
 }
 
 // New prepares the process.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, log: cfg.Log, table: place.NewTable(), usage: newUsage(cfg.Site.Bounds.Window.Duration())}
+	s := &Server{cfg: cfg, log: cfg.Log, table: place.NewTable(), usage: newUsage(cfg.Site.Bounds.Window.Duration()),
+		known: make(chan struct{})}
 	s.table.Zone = cfg.Site.Zone
 	s.table.Overage, s.table.Slack = cfg.Site.Bounds.Overage, cfg.Site.Bounds.Slack
 	s.table.Connected = cfg.Servers.Idle
@@ -100,6 +105,26 @@
 
 func (s *Server) learned(st *feed.State) {
 	s.table.Update(st.Instances, st.Public.ZonesOut, st.Table, st.Entries)
+	if st.Table != nil && st.Roster > 0 {
+		s.knownOnce.Do(func() { close(s.known) })
+	}
+}
+
+// Await waits until a configuration and the servers are known, at most until
+// the time given. A process that has just started learns both within a second
+// or two: most callers are better served late than told to come again.
+func (s *Server) Await(until time.Time) {
+	select {
+	case <-s.known:
+		return
+	default:
+	}
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-s.known:
+	case <-timer.C:
+	}
 }
 
 func (s *Server) report(q *fleet.Report) {
--- a/pkg/process/quorum/core.go
+++ b/pkg/process/quorum/core.go
@@ -36,6 +36,13 @@
 	return Timing{Heartbeat: 200 * time.Millisecond, Election: 900 * time.Millisecond, Lease: 700 * time.Millisecond}
 }
 
+// QuickTiming suits small groups whose hosts are a few milliseconds apart and
+// whose requests wait for the next leader: after a restart of all replicas a
+// leader is there within a second.
+func QuickTiming() Timing {
+	return Timing{Heartbeat: 100 * time.Millisecond, Election: 500 * time.Millisecond, Lease: 380 * time.Millisecond}
+}
+
 // Limits on one message and on the rounds that a leader remembers.
 const (
 	maxEntriesPerAppend = 256
