--- a/pkg/process/quorum/core.go
+++ b/pkg/process/quorum/core.go
@@ -24,7 +24,7 @@
 type Timing struct {
 	Heartbeat time.Duration
 	// Election is the shortest election timeout; a replica draws its timeout
-	// between Election and twice Election.
+	// between Election and 1.6 times Election.
 	Election time.Duration
 	// Lease counts from the send time of a round that a majority answered. It
 	// must stay below Election by more than the clocks drift in that period.
@@ -47,6 +47,9 @@
 const (
 	maxEntriesPerAppend = 256
 	maxRounds           = 64
+	// jitterPercent spreads the election timeouts: far more than the way of a
+	// vote, so that two candidates seldom meet.
+	jitterPercent = 60
 )
 
 // Core is the deterministic replicated-log protocol (Ongaro and Ousterhout,
--- a/pkg/process/quorum/election.go
+++ b/pkg/process/quorum/election.go
@@ -118,6 +118,6 @@
 }
 
 func (c *Core) resetElection(now time.Time) {
-	jitter := time.Duration(c.rng.Int64N(int64(c.timing.Election)))
+	jitter := time.Duration(c.rng.Int64N(int64(c.timing.Election * jitterPercent / 100)))
 	c.electionDue = now.Add(c.timing.Election + jitter)
 }
