Let a new leader take over the roster that the log holds

Cause: the roster was taken from the catalog when a process became leader, before it had applied the log; after a restart of all processes it was empty, and entry hosts knew one server where there are 14. Change: it is taken over at the first call that needs the leader.

--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -159,6 +159,7 @@
 			inner = &NotLeaderError{Addr: addr}
 			return
 		}
+		s.office.inherit(s.catalog.Instances)
 		inner = f(s.office)
 	})
 	if err != nil {
@@ -221,7 +222,6 @@
 		if s.feed != nil {
 			s.office.roster.Load(s.feed.State().Instances, time.Now())
 		}
-		s.office.roster.Load(s.catalog.Instances, time.Now())
 	}
 }
 
--- a/internal/process/director/office.go
+++ b/internal/process/director/office.go
@@ -43,6 +43,8 @@
 	kept    uint64
 	keptAt  time.Time
 	keeping bool
+	// inherited is true once the roster of the log was taken over.
+	inherited bool
 	// founding is when enough store hosts were there first.
 	founding time.Time
 }
@@ -70,6 +72,16 @@
 		planner: weights.New(), accepted: map[start]uint64{}}
 }
 
+// inherit takes over the roster that the log holds. A process that has just
+// been elected may not have applied the log yet, so this waits for the first
+// call that needs the leader.
+func (o *office) inherit(kept []roster.Instance) {
+	if !o.inherited {
+		o.inherited = true
+		o.roster.Load(kept, time.Now())
+	}
+}
+
 // settled reports whether the roster is fit to be sent.
 func (o *office) settled(now time.Time) bool { return now.Sub(o.since) > settleTime }
 
