--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -131,6 +131,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if e.misdirected(w, r) {
+		return
+	}
 	f, bears := e.takeFault()
 	if over := e.enter(bears, hasKey(r, body)); over || f.Busy {
 		time.Sleep(e.cfg.Token)
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -107,6 +107,9 @@
 	if err != nil {
 		return
 	}
+	if s.misdirected(w, r) {
+		return
+	}
 	f := s.takeFault()
 	if f.At == "before" {
 		cut(w)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -11,11 +11,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/plantainbank/plantainbank/pkg/connection/announce"
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
 )
 
 // announcePeriod is the period at which backend servers announce themselves.
@@ -173,6 +175,16 @@
 	return res.StatusCode == http.StatusOK
 }
 
+// misdirected answers a request that is meant for another start.
+func (s *server) misdirected(w http.ResponseWriter, r *http.Request) bool {
+	expected := r.Header.Get(attempt.IncarnationHeader)
+	if expected == "" || expected == strconv.FormatUint(s.Incarnation, 10) {
+		return false
+	}
+	http.Error(w, "another start of the server has the address", http.StatusMisdirectedRequest)
+	return true
+}
+
 // enter counts a request; bears is what the server bears at this moment.
 func (s *server) enter(bears int, leak bool) (over bool) {
 	s.mu.Lock()
--- a/pkg/connection/backendserver/table.go
+++ b/pkg/connection/backendserver/table.go
@@ -126,6 +126,7 @@
 		if old.Incarnation != s.Incarnation {
 			old.counts, old.latency, old.failures, old.ejections = Counts{}, 0, 0, 0
 			old.ejectedUntil = time.Time{}
+			old.share = 0 // it was granted for the former start
 		}
 		old.Server = s
 	}
--- a/pkg/connection/backendserver/table_test.go
+++ b/pkg/connection/backendserver/table_test.go
@@ -146,3 +146,18 @@
 		t.Fatalf("the new incarnation has %+v", h)
 	}
 }
+
+// TestShareCountsForOneStart restarts a server: the share that was granted for
+// its former start is worth nothing until the leader grants one for the new
+// start.
+func TestShareCountsForOneStart(t *testing.T) {
+	table := newTable(Policy{Choice: "wait"}, Server{ID: "s", Incarnation: 1})
+	table.Replace(2, []Server{{ID: "s", Incarnation: 2, Pool: "p", Limit: 1}})
+	if slot, ok := table.Take(Want{Pool: "p"}); ok {
+		t.Fatalf("used the old share at the new start: %+v", slot)
+	}
+	table.SetShares(map[string]int{"s": 1}, nil)
+	if _, ok := table.Take(Want{Pool: "p"}); !ok {
+		t.Fatal("the new share is not used")
+	}
+}
--- a/pkg/process/control/backends.go
+++ b/pkg/process/control/backends.go
@@ -13,7 +13,9 @@
 	announced *pb.Announcement
 	heard     time.Time
 	ramp      *ramp.Ramp
-	counts    ramp.Counts
+	// counts are the outcomes at this incarnation; the ramp must not take what
+	// a former one has proven.
+	counts ramp.Counts
 	// suspects holds, for each host whose connection broke, the announcement
 	// after which the server is known to live on.
 	suspects map[string]uint64
@@ -21,6 +23,13 @@
 	swap swap
 }
 
+// resource names what is divided: one start of a server. Shares of an earlier
+// start are worth nothing at the next one, which refuses what is meant for its
+// predecessor.
+func (b *backend) resource() string { return resourceName(b.announced.Id, b.announced.Incarnation) }
+
+func resourceName(id string, incarnation uint64) string { return fmt.Sprintf("%s@%d", id, incarnation) }
+
 // announce takes in an announcement that an entry host passes on.
 func (r *leadership) announce(a *pb.Announcement, now time.Time) {
 	b := r.backends[a.Id]
@@ -37,11 +46,14 @@
 	}
 	if b.announced != nil && a.Incarnation != b.announced.Incarnation {
 		clear(b.suspects) // the new limit holds for the new incarnation
+		b.counts = ramp.Counts{}
+		r.shares.SetLimit(b.resource(), 0)
+		r.shares.Remove(b.resource())
 	}
 	b.ramp.Announce(a.Incarnation, int(a.Bears))
 	b.announced = a
 	b.heard = now
-	r.shares.SetLimit(a.Id, b.ramp.Limit)
+	r.shares.SetLimit(b.resource(), b.ramp.Limit)
 }
 
 // tableDiffers reports whether entry hosts must hear of the change.
@@ -91,7 +103,7 @@
 		b.counts.Refused += now.Refused - before.Refused
 		b.counts.Failed += now.Failed - before.Failed
 		if b.ramp.Observe(b.counts) {
-			r.shares.SetLimit(o.Backend, b.ramp.Limit)
+			r.shares.SetLimit(b.resource(), b.ramp.Limit)
 			r.table++
 		}
 	}
@@ -108,6 +120,6 @@
 			continue
 		}
 		b.ramp.Adopt(int(h.Limit))
-		r.shares.SetLimit(h.Backend, b.ramp.Limit)
+		r.shares.SetLimit(b.resource(), b.ramp.Limit)
 	}
 }
--- a/pkg/process/control/leadership.go
+++ b/pkg/process/control/leadership.go
@@ -91,8 +91,8 @@
 		if now.Sub(b.heard) <= backendTTL {
 			continue
 		}
-		r.shares.SetLimit(id, 0)
-		if r.shares.Remove(id) {
+		r.shares.SetLimit(b.resource(), 0)
+		if r.shares.Remove(b.resource()) {
 			delete(r.backends, id)
 			r.table++
 			changed = true
--- a/pkg/process/control/leadership_test.go
+++ b/pkg/process/control/leadership_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/plantainbank/plantainbank/pkg/process/fleet"
 	"github.com/plantainbank/plantainbank/pkg/process/ledger"
+	"github.com/plantainbank/plantainbank/pkg/process/ramp"
 	"github.com/plantainbank/plantainbank/pkg/version/record"
 	pb "github.com/plantainbank/plantainbank/service/control"
 )
@@ -60,7 +61,7 @@
 		t.Fatal("dropped within its time")
 	}
 	r.shares.Report("h", nil)
-	r.shares.Grant("h", "s", 1)
+	r.shares.Grant("h", r.backends["s"].resource(), 1)
 	r.leases.Grant("h", began.Add(backendTTL))
 	if r.expire(began.Add(backendTTL + time.Millisecond)); len(r.backends) != 1 {
 		t.Fatal("dropped while a host still holds a share")
@@ -140,3 +141,47 @@
 		t.Fatal("never settled")
 	}
 }
+
+// TestShareOfAFormerStartIsNotCarriedOver restarts a server while two hosts
+// hold shares of it: together they get no more than the new start bears, and
+// what they held of the former start blocks nobody.
+func TestShareOfAFormerStartIsNotCarriedOver(t *testing.T) {
+	now := time.Now()
+	r := newLeadership(1, now.Add(-time.Hour), time.Second)
+	r.announce(&pb.Announcement{Id: "s", Incarnation: 1, Seq: 1, Bears: 8}, now)
+	r.shares.SetLimit(r.backends["s"].resource(), 8)
+	for _, h := range []string{"a", "b"} {
+		r.shares.Report(h, nil)
+		if n := r.shares.Grant(h, r.backends["s"].resource(), 4); n != 4 {
+			t.Fatalf("host %s got %d", h, n)
+		}
+	}
+	r.announce(&pb.Announcement{Id: "s", Incarnation: 2, Seq: 1, Bears: 8}, now)
+	sum := 0
+	for _, h := range []string{"a", "b"} {
+		r.shares.Report(h, holdingsOf([]*pb.Holding{{Backend: "s", Incarnation: 1, Share: 4, Running: 2}}))
+		sum += r.shares.Grant(h, r.backends["s"].resource(), 4)
+	}
+	if sum != 1 {
+		t.Fatalf("the hosts hold %d of the new start, want 1", sum)
+	}
+}
+
+// TestNewStartProvesItselfAnew restarts a server that had served much: the
+// outcomes of its former start raise no limit.
+func TestNewStartProvesItselfAnew(t *testing.T) {
+	now := time.Now()
+	r := newLeadership(1, now.Add(-time.Hour), time.Second)
+	h := &host{outcomes: map[string]ramp.Counts{}}
+	r.announce(&pb.Announcement{Id: "s", Incarnation: 1, Seq: 1, Bears: 8}, now)
+	for served := range uint64(50) {
+		r.observe(h, []*pb.Outcome{{Backend: "s", Incarnation: 1, Served: served}})
+	}
+	r.announce(&pb.Announcement{Id: "s", Incarnation: 2, Seq: 1, Bears: 8}, now)
+	for served := range uint64(3) {
+		r.observe(h, []*pb.Outcome{{Backend: "s", Incarnation: 2, Served: served}})
+	}
+	if got := r.backends["s"].ramp.Limit; got != ramp.First {
+		t.Fatalf("the limit is %d after two served requests, want %d", got, ramp.First)
+	}
+}
--- a/pkg/process/control/renew.go
+++ b/pkg/process/control/renew.go
@@ -161,7 +161,7 @@
 func holdingsOf(holdings []*pb.Holding) map[string]share.Holding {
 	out := make(map[string]share.Holding, len(holdings))
 	for _, h := range holdings {
-		out[h.Backend] = share.Holding{Share: int(h.Share), Running: int(h.Running)}
+		out[resourceName(h.Backend, h.Incarnation)] = share.Holding{Share: int(h.Share), Running: int(h.Running)}
 	}
 	return out
 }
@@ -213,7 +213,7 @@
 		if s.closed(b, q) {
 			want = 0
 		}
-		if n := s.leadership.shares.Grant(q.Host, id, want); n > 0 {
+		if n := s.leadership.shares.Grant(q.Host, b.resource(), want); n > 0 {
 			out = append(out, &pb.Share{Backend: id, Share: uint32(n)})
 		}
 	}
--- a/pkg/request/attempt/generate.go
+++ b/pkg/request/attempt/generate.go
@@ -50,6 +50,16 @@
 
 func (e *BusyError) Error() string { return fmt.Sprintf("backend server answered %d", e.Status) }
 
+// IncarnationHeader names, in every request, the only start of a server that
+// may run it. Any other start answers 421 and does not run the request.
+const IncarnationHeader = "Expect-Incarnation"
+
+// MisdirectedError reports that another start of the server has the address.
+// The request was not run.
+type MisdirectedError struct{}
+
+func (e *MisdirectedError) Error() string { return "another start of the server has the address" }
+
 // CrossedError reports an event that belongs to another request.
 type CrossedError struct{ Want, Got string }
 
@@ -108,6 +118,9 @@
 }
 
 func statusError(status int) error {
+	if status == http.StatusMisdirectedRequest {
+		return &Error{Phase: "answer", Ran: RanNo, Broken: true, Err: &MisdirectedError{}}
+	}
 	busy := &BusyError{Status: status}
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		return &Error{Phase: "answer", Ran: RanNo, Err: busy}
--- a/pkg/request/dispatch/dispatch.go
+++ b/pkg/request/dispatch/dispatch.go
@@ -6,7 +6,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -245,11 +247,13 @@
 		return nil, "", err
 	}
 	ctx, end := d.cfg.Tracer.Start(ctx, "attempt", attribute.String("backend_server", slot.ID))
-	for k, v := range d.cfg.Tracer.Header(ctx) {
+	header := incarnationHeader(slot)
+	maps.Copy(header, d.cfg.Tracer.Header(ctx))
+	for k, v := range header {
 		req.Header.Set(k, v)
 	}
 	a, err := d.cfg.Client.Do(ctx, slot.Addr, req, attempt.Options{Fresh: !j.Idempotent, BodyMost: d.cfg.Limits.Answer})
-	if err == nil && j.Idempotent {
+	if err == nil && (j.Idempotent || a.Response.StatusCode() == fasthttp.StatusMisdirectedRequest) {
 		err = busyError(a.Response.StatusCode())
 	}
 	d.release(j, slot, outcomeOf(ctx, err))
@@ -260,9 +264,22 @@
 	return a.Response, slot.ID, nil
 }
 
+// incarnationHeader names the only start of a server that may run a request. A
+// share counts for one start: a server that was started anew refuses what was
+// meant for its predecessor, however late a host hears of the restart.
+func incarnationHeader(slot backendserver.Slot) map[string]string {
+	if slot.Incarnation == 0 {
+		return map[string]string{} // not known
+	}
+	return map[string]string{attempt.IncarnationHeader: strconv.FormatUint(slot.Incarnation, 10)}
+}
+
 // busyError turns an answer that names overload into an error. What a plain
 // service did before such an answer is not known.
 func busyError(status int) error {
+	if status == fasthttp.StatusMisdirectedRequest {
+		return &attempt.Error{Phase: "answer", Ran: attempt.RanNo, Broken: true, Err: &attempt.MisdirectedError{}}
+	}
 	if status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable {
 		return &attempt.Error{Phase: "answer", Ran: attempt.RanUnknown, Err: &attempt.BusyError{Status: status}}
 	}
--- a/pkg/request/dispatch/generate.go
+++ b/pkg/request/dispatch/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"strings"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -108,7 +109,9 @@
 	p.Backend = slot.ID
 	ask := attempt.Generation{Request: fmt.Sprintf("%s-%d", d.prefix, d.number.Add(1)), Rollout: g.Rollout,
 		Prompt: g.Prompt, Prefix: p.text.String(), Offset: p.Tokens, Tokens: g.Tokens, Seed: g.Seed, Priority: g.Priority}
-	reason, err := d.cfg.Client.Generate(ctx, slot.Addr, ask, d.cfg.Tracer.Header(ctx), func(e attempt.Event) error {
+	header := incarnationHeader(slot)
+	maps.Copy(header, d.cfg.Tracer.Header(ctx))
+	reason, err := d.cfg.Client.Generate(ctx, slot.Addr, ask, header, func(e attempt.Event) error {
 		return p.take(e, g)
 	})
 	p.Reason = reason
