--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -67,6 +67,7 @@
 		Apply:   s.apply,
 		Save:    func() []byte { return s.batches.Save() },
 		Restore: s.restore,
+		Freeze:  func() func() []byte { return s.batches.Freeze() },
 		Changed: s.roleChanged,
 		Hosts:   s.storeHosts,
 	})
--- a/internal/request/batch/batch.go
+++ b/internal/request/batch/batch.go
@@ -1,8 +1,10 @@
 package batch
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -143,17 +145,67 @@
 // Restore returns the store that Save encoded.
 func Restore(data []byte) (*Store, error) {
 	s := NewStore()
-	if err := json.Unmarshal(data, &s.all); err != nil {
-		return nil, fmt.Errorf("batches: %w", err)
-	}
-	for _, b := range s.all {
+	for line := range bytes.Lines(data) {
+		b := &Batch{}
+		if err := json.Unmarshal(line, b); err != nil {
+			return nil, fmt.Errorf("batches: %w", err)
+		}
 		b.prepare()
+		s.all[b.ID] = b
 	}
 	return s, nil
 }
 
-// Save encodes the store.
-func (s *Store) Save() []byte { return encode(s.all) }
+// Save encodes the store: a line of JSON for each batch.
+func (s *Store) Save() []byte { return s.Freeze()() }
+
+// Freeze returns the encoding of the store as it is now. The encoding may be
+// made by another goroutine while the store goes on: texts and bodies never
+// change, so only the batches and their lists are copied.
+func (s *Store) Freeze() (encode func() []byte) {
+	all := make([]*Batch, 0, len(s.all))
+	for _, b := range s.all {
+		c := *b
+		c.Items = slices.Clone(b.Items)
+		c.Results = slices.Clone(b.Results)
+		all = append(all, &c)
+	}
+	return func() []byte { return encodeAll(all) }
+}
+
+// encodeAll makes its buffer large enough at once, since the state may take a
+// good part of the memory.
+func encodeAll(all []*Batch) []byte {
+	size := 0
+	for _, b := range all {
+		size += b.size()
+	}
+	out := make([]byte, 0, size)
+	for i, b := range all {
+		out = append(append(out, encode(b)...), '\n')
+		all[i] = nil
+	}
+	return out
+}
+
+// itemOverhead is about what an item or a result takes in JSON beyond its
+// texts, in bytes.
+const itemOverhead = 160
+
+// size estimates the length of a batch in JSON.
+func (b *Batch) size() int {
+	n := itemOverhead
+	for _, x := range b.Items {
+		n += itemOverhead + len(x.Path) + len(x.Body)*4/3
+		for k, v := range x.Headers {
+			n += len(k) + len(v) + itemOverhead/16
+		}
+	}
+	for _, r := range b.Results {
+		n += itemOverhead + len(r.Text) + len(r.Text)/10
+	}
+	return n
+}
 
 // Get returns a batch, or nil.
 func (s *Store) Get(id string) *Batch { return s.all[id] }
--- a/pkg/process/disk/disk.go
+++ b/pkg/process/disk/disk.go
@@ -9,10 +9,12 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"encoding/gob"
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 
 	"github.com/zeebo/errs"
@@ -96,6 +98,9 @@
 	number uint64
 	last   uint64
 	broken error
+	// snapshotMu guards the snapshot file; snapshotIndex is what it covers.
+	snapshotMu    sync.Mutex
+	snapshotIndex uint64
 	// readOnly leaves torn tails in place.
 	readOnly bool
 }
@@ -106,8 +111,12 @@
 	last uint64
 }
 
-// snapshotBody is the content of the snapshot file.
-type snapshotBody struct {
+// snapshotMagic begins the body of a snapshot; eight bytes with its index and
+// the data follow. Bodies without it are of the first release, see legacyBody.
+const snapshotMagic = "pbsnap2\x00"
+
+// legacyBody is the content of a snapshot file of the first release.
+type legacyBody struct {
 	Index uint64
 	Data  []byte
 }
@@ -207,18 +216,41 @@
 }
 
 // SaveSnapshot stores a snapshot that covers the entries up to index, then
-// removes the segments that hold nothing after it.
-func (d *Disk) SaveSnapshot(index uint64, data []byte) error {
+// removes the segments that hold nothing after it. The data is written part by
+// part: it may be as large as the state, and is not copied.
+func (d *Disk) SaveSnapshot(index uint64, parts ...[]byte) error {
 	if d.broken != nil {
 		return &BrokenError{Cause: d.broken}
 	}
-	var buf bytes.Buffer
-	if err := gob.NewEncoder(&buf).Encode(snapshotBody{index, data}); err != nil {
-		return Error.Wrap(err)
-	}
-	if err := d.replaceFile(snapshotFile, frame(buf.Bytes())); err != nil {
+	if err := d.WriteSnapshot(index, parts...); err != nil {
 		return d.fail(err)
 	}
+	return d.Trim(index)
+}
+
+// WriteSnapshot stores a snapshot and leaves the segments as they are. It may
+// run beside Append, but only once at a time and not beside SaveSnapshot.
+func (d *Disk) WriteSnapshot(index uint64, parts ...[]byte) error {
+	d.snapshotMu.Lock()
+	defer d.snapshotMu.Unlock()
+	if index < d.snapshotIndex {
+		return nil // a newer one is there
+	}
+	head := binary.LittleEndian.AppendUint64([]byte(snapshotMagic), index)
+	body := append([][]byte{head}, parts...)
+	if err := d.replaceFile(snapshotFile, append([][]byte{header(body...)}, body...)...); err != nil {
+		return err
+	}
+	d.snapshotIndex = index
+	return nil
+}
+
+// Trim removes the segments that hold nothing after index. A snapshot up to
+// index must have been stored.
+func (d *Disk) Trim(index uint64) error {
+	if d.broken != nil {
+		return &BrokenError{Cause: d.broken}
+	}
 	if err := d.rotate(); err != nil {
 		return d.fail(err)
 	}
@@ -236,15 +268,17 @@
 }
 
 // replaceFile writes a file whole: the old or the new content survives.
-func (d *Disk) replaceFile(name string, data []byte) error {
+func (d *Disk) replaceFile(name string, parts ...[]byte) error {
 	path := filepath.Join(d.dir, name)
 	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	if _, err := d.files.Write(f, data); err != nil {
-		f.Close()
-		return Error.Wrap(err)
+	for _, part := range parts {
+		if _, err := d.files.Write(f, part); err != nil {
+			f.Close()
+			return Error.Wrap(err)
+		}
 	}
 	if err := errs.Combine(d.files.Sync(f), f.Close()); err != nil {
 		return Error.Wrap(err)
--- a/pkg/process/disk/frame.go
+++ b/pkg/process/disk/frame.go
@@ -39,6 +39,20 @@
 	return true
 }
 
+// header returns the header of a frame whose body consists of parts.
+func header(parts ...[]byte) []byte {
+	h := xxh3.New()
+	n := 0
+	for _, part := range parts {
+		h.Write(part)
+		n += len(part)
+	}
+	p := make([]byte, headerBytes)
+	binary.LittleEndian.PutUint32(p, uint32(n))
+	binary.LittleEndian.PutUint64(p[4:], h.Sum64())
+	return p
+}
+
 func frame(body []byte) []byte {
 	p := make([]byte, headerBytes, headerBytes+len(body))
 	binary.LittleEndian.PutUint32(p, uint32(len(body)))
--- a/pkg/process/disk/load.go
+++ b/pkg/process/disk/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"encoding/gob"
 	"errors"
 	"fmt"
@@ -78,15 +79,23 @@
 	if reason != "" || n != len(data) {
 		return &CorruptError{File: path, Reason: "snapshot " + reason}
 	}
-	var s snapshotBody
-	if err := gob.NewDecoder(bytes.NewReader(body)).Decode(&s); err != nil {
+	if saved.SnapshotIndex, saved.Snapshot, err = decodeSnapshot(body); err != nil {
 		return &CorruptError{File: path, Reason: err.Error()}
 	}
-	saved.Snapshot, saved.SnapshotIndex = s.Data, s.Index
-	d.last = s.Index
+	d.last, d.snapshotIndex = saved.SnapshotIndex, saved.SnapshotIndex
 	return nil
 }
 
+// decodeSnapshot reads the body of a snapshot file.
+func decodeSnapshot(body []byte) (index uint64, data []byte, err error) {
+	if rest, ok := bytes.CutPrefix(body, []byte(snapshotMagic)); ok && len(rest) >= 8 {
+		return binary.LittleEndian.Uint64(rest), rest[8:], nil
+	}
+	var old legacyBody
+	err = gob.NewDecoder(bytes.NewReader(body)).Decode(&old)
+	return old.Index, old.Data, err
+}
+
 func (d *Disk) loadSegments(saved *Saved) error {
 	paths, err := filepath.Glob(filepath.Join(d.dir, "*"+segmentSuffix))
 	if err != nil {
--- a/pkg/process/quorum/core.go
+++ b/pkg/process/quorum/core.go
@@ -47,6 +47,9 @@
 const (
 	maxEntriesPerAppend = 256
 	maxRounds           = 64
+	// snapshotRounds is the heartbeat rounds for which a snapshot may be under
+	// way before it is sent again: 2 s with a heartbeat of 100 ms.
+	snapshotRounds = 20
 	// jitterPercent spreads the election timeouts: far more than the way of a
 	// vote, so that two candidates seldom meet.
 	jitterPercent = 60
@@ -175,11 +178,19 @@
 // the state machine at an applied index.
 func (c *Core) Compact(index uint64, data []byte) Snapshot {
 	term, _ := c.log.term(index)
-	snap := Snapshot{Index: index, Term: term, Members: c.log.membersAtIndex(index), Data: data}
+	snap := Snapshot{Index: index, Term: term, Members: c.log.membersAtIndex(index)}
 	c.log.compact(snap)
+	snap.Data = data
 	return snap
 }
 
+// snapshotAt describes the state at an applied index. The data is missing: it
+// is as large as the state, so it is made when a message needs it.
+func (c *Core) snapshotAt(index uint64) Snapshot {
+	term, _ := c.log.term(index)
+	return Snapshot{Index: index, Term: term, Members: c.log.membersAtIndex(index)}
+}
+
 // Form writes the first entry of a new group into an empty log.
 func (c *Core) Form(members Members) error {
 	if c.log.lastIndex() > 0 || c.hard.Term > 0 {
--- a/pkg/process/quorum/node.go
+++ b/pkg/process/quorum/node.go
@@ -26,6 +26,14 @@
 	Restore func(data []byte) error
 	// SaveSnapshot stores a snapshot that replaces the log up to its index.
 	SaveSnapshot func(Snapshot) error
+	// Freeze returns the encoding of the state as it is now, to be made by
+	// another goroutine while commands go on. It may be nil; then Save is used
+	// on the node's goroutine.
+	Freeze func() (encode func() []byte)
+	// WriteSnapshot stores a frozen snapshot. It runs on another goroutine than
+	// Persist. Trim then drops the log that the snapshot replaces.
+	WriteSnapshot func(Snapshot) error
+	Trim          func(index uint64) error
 	// SnapshotEvery is the number of applied entries between two snapshots.
 	SnapshotEvery uint64
 	// Suspended returns how long the machine has been suspended in all; nil
@@ -72,6 +80,10 @@
 	saved   uint64
 	// bytes is the size of the commands applied since the last snapshot.
 	bytes int
+	// freezing is true while another goroutine writes a snapshot; written
+	// carries its outcome.
+	freezing bool
+	written  chan frozen
 	// suspended is what Config.Suspended told last.
 	suspended atomic.Int64
 }
@@ -99,6 +111,7 @@
 		if err := cfg.Restore(cfg.Persisted.Snapshot.Data); err != nil {
 			return nil, err
 		}
+		cfg.Persisted.Snapshot.Data = nil
 	}
 	if cfg.Suspended == nil {
 		cfg.Suspended = func() time.Duration { return 0 }
@@ -110,6 +123,7 @@
 		calls:   make(chan func(), callsSize),
 		waiting: map[uint64]waiter{},
 		done:    make(chan struct{}),
+		written: make(chan frozen, 1),
 		saved:   cfg.Persisted.Snapshot.Index,
 	}
 	n.suspended.Store(int64(cfg.Suspended()))
@@ -136,6 +150,10 @@
 		case f := <-n.calls:
 			f()
 			n.drainCalls()
+		case x := <-n.written:
+			if err := n.trim(x); err != nil {
+				return err
+			}
 		}
 		if err := n.process(); err != nil {
 			return err
@@ -214,6 +232,7 @@
 		}
 	}
 	if len(r.Messages) > 0 {
+		n.fillSnapshots(r.Messages)
 		n.cfg.Send(r.Messages)
 	}
 	for _, e := range r.Committed {
@@ -222,6 +241,21 @@
 	return nil
 }
 
+// fillSnapshots puts the state into the messages that carry it. The state
+// machine has applied exactly what the core calls applied.
+func (n *Node) fillSnapshots(messages []Message) {
+	var data []byte
+	for _, m := range messages {
+		if m.Kind != MsgSnapshot || m.Snapshot == nil {
+			continue
+		}
+		if data == nil {
+			data = n.cfg.Save()
+		}
+		m.Snapshot.Data = data
+	}
+}
+
 func (n *Node) apply(e Entry) {
 	var result any
 	n.bytes += len(e.Data)
@@ -256,15 +290,50 @@
 }
 
 func (n *Node) maybeSnapshot() error {
-	if !n.snapshotDue() {
+	if n.freezing || !n.snapshotDue() {
 		return nil
 	}
 	n.bytes = 0
+	if n.cfg.Freeze != nil {
+		n.freeze()
+		return nil
+	}
 	snap := n.core.Compact(n.core.applied, n.cfg.Save())
 	n.saved = snap.Index
 	return n.cfg.SaveSnapshot(snap)
 }
 
+// frozen is a snapshot that was written, or why it was not.
+type frozen struct {
+	index uint64
+	err   error
+}
+
+// freeze starts to write a snapshot of the state as it is now.
+func (n *Node) freeze() {
+	n.freezing = true
+	snap := n.core.snapshotAt(n.core.applied)
+	encode := n.cfg.Freeze()
+	go func() {
+		snap.Data = encode()
+		n.written <- frozen{snap.Index, n.cfg.WriteSnapshot(snap)}
+	}()
+}
+
+// trim drops the log that a written snapshot replaces.
+func (n *Node) trim(x frozen) error {
+	n.freezing = false
+	if x.err != nil {
+		return x.err
+	}
+	if x.index <= n.saved {
+		return nil // a newer one came from the leader meanwhile
+	}
+	n.core.Compact(x.index, nil)
+	n.saved = x.index
+	return n.cfg.Trim(x.index)
+}
+
 func (n *Node) snapshotDue() bool {
 	if n.core.applied <= n.saved {
 		return false
--- a/pkg/process/quorum/replicate.go
+++ b/pkg/process/quorum/replicate.go
@@ -13,6 +13,8 @@
 	next uint64
 	// round is the latest round that the peer answered.
 	round uint64
+	// snapshotRound is the round in which the state was sent last, or zero.
+	snapshotRound uint64
 	// heard is the arrival time of the peer's latest answer.
 	heard time.Time
 }
@@ -49,9 +51,7 @@
 	prev := p.next - 1
 	term, ok := c.log.term(prev)
 	if !ok {
-		snap := c.log.snap
-		c.send(Message{Kind: MsgSnapshot, To: to, Round: c.round, Snapshot: &snap})
-		p.next = snap.Index + 1
+		c.sendSnapshot(to, p)
 		return
 	}
 	entries := c.log.slice(p.next, maxEntriesPerAppend)
@@ -60,6 +60,18 @@
 	p.next += uint64(len(entries))
 }
 
+// sendSnapshot asks the driver to send the state. While one is under way, only
+// heartbeats go to the peer.
+func (c *Core) sendSnapshot(to NodeID, p *progress) {
+	if c.round-p.snapshotRound < snapshotRounds && p.snapshotRound != 0 {
+		c.send(Message{Kind: MsgAppend, To: to, LogIndex: c.log.snap.Index, LogTerm: c.log.snap.Term, Commit: 0, Round: c.round})
+		return
+	}
+	p.snapshotRound = c.round
+	snap := c.snapshotAt(c.applied)
+	c.send(Message{Kind: MsgSnapshot, To: to, Round: c.round, Snapshot: &snap})
+}
+
 func (c *Core) stepAppend(m Message, now time.Time) {
 	c.follow(m, now)
 	if m.LogIndex < c.commit {
@@ -108,7 +120,7 @@
 	c.follow(m, now)
 	snap := m.Snapshot
 	if snap.Index > c.commit {
-		c.log.compact(*snap)
+		c.log.compact(Snapshot{Index: snap.Index, Term: snap.Term, Members: snap.Members})
 		c.commit = snap.Index
 		c.snapDirty = snap
 		c.persistLow = 0
--- a/pkg/process/quorum/suspend_test.go
+++ b/pkg/process/quorum/suspend_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -40,3 +44,76 @@
 	_, _, ok := n.Holds()
 	return ok
 }
+
+// TestFrozenSnapshotLosesNothing writes snapshots on another goroutine while
+// commands go on: what the snapshot and the kept log hold is what was applied.
+func TestFrozenSnapshotLosesNothing(t *testing.T) {
+	var mu sync.Mutex
+	var state []byte
+	var disk struct {
+		snap    Snapshot
+		entries map[uint64][]byte
+	}
+	disk.entries = map[uint64][]byte{}
+	n, err := NewNode(Config{ID: 1, Timing: DefaultTiming(), SnapshotBytes: 10, Send: func([]Message) {},
+		Persist: func(r Ready) error {
+			for _, e := range r.Entries {
+				if e.Kind == EntryCommand {
+					disk.entries[e.Index] = e.Data
+				}
+			}
+			return nil
+		},
+		Apply: func(_ uint64, data []byte) any { state = append(state, data...); return nil },
+		Freeze: func() func() []byte {
+			now := slices.Clone(state)
+			return func() []byte { return now }
+		},
+		WriteSnapshot: func(s Snapshot) error {
+			mu.Lock()
+			defer mu.Unlock()
+			disk.snap = s
+			return nil
+		},
+		Trim: func(index uint64) error {
+			for i := range disk.entries {
+				if i <= index {
+					delete(disk.entries, i)
+				}
+			}
+			return nil
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() { n.Run(ctx); close(stopped) }()
+	if err := n.Do(ctx, func() { n.core.Form(Members{{ID: 1, Addr: "a"}}) }); err != nil {
+		t.Fatal(err)
+	}
+	for !holds(n) {
+		time.Sleep(time.Millisecond)
+	}
+	want := ""
+	for i := range 200 {
+		text := fmt.Sprintf("%d,", i)
+		if _, err := n.Propose(ctx, []byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		want += text
+	}
+	cancel()
+	<-stopped
+	mu.Lock()
+	defer mu.Unlock()
+	got := string(disk.snap.Data)
+	for _, i := range slices.Sorted(maps.Keys(disk.entries)) {
+		if i > disk.snap.Index {
+			got += string(disk.entries[i])
+		}
+	}
+	if got != want || disk.snap.Index == 0 {
+		t.Fatalf("snapshot at %d and log give %q, want %q", disk.snap.Index, got, want)
+	}
+}
--- a/pkg/process/replica/replica.go
+++ b/pkg/process/replica/replica.go
@@ -21,9 +21,9 @@
 	// changeTimeout bounds one change of the membership.
 	changeTimeout = 2 * time.Second
 	// snapshotEvery bounds the entries that a restart reads.
-	snapshotEvery = 4000
+	snapshotEvery = 20000
 	// snapshotBytes bounds the log on the disk and in memory.
-	snapshotBytes = 8 << 20
+	snapshotBytes = 12 << 20
 )
 
 // Config holds what a Replica needs. Function fields are its seams.
@@ -42,6 +42,9 @@
 	Apply   func(index uint64, data []byte) any
 	Save    func() []byte
 	Restore func(data []byte) error
+	// Freeze returns the encoding of the state as it is now, to be made by
+	// another goroutine; nil means that Save is quick.
+	Freeze func() (encode func() []byte)
 	// Changed runs on the replica's goroutine when its role changes.
 	Changed func(quorum.Status)
 	// Hosts lists what this process knows of hosts that can hold a replica.
@@ -81,6 +84,9 @@
 		Save:          cfg.Save,
 		Restore:       cfg.Restore,
 		SaveSnapshot:  func(s quorum.Snapshot) error { return SaveSnapshot(d, s) },
+		Freeze:        cfg.Freeze,
+		WriteSnapshot: func(s quorum.Snapshot) error { return WriteSnapshot(d, s) },
+		Trim:          d.Trim,
 		SnapshotEvery: snapshotEvery,
 		SnapshotBytes: snapshotBytes,
 		Suspended:     clock.Suspended,
--- a/pkg/process/replica/wire.go
+++ b/pkg/process/replica/wire.go
@@ -76,9 +76,11 @@
 		p.Hard = quorum.HardState{Term: h.Term, Vote: quorum.NodeID(h.Vote)}
 	}
 	if saved.Snapshot != nil {
-		if err := json.Unmarshal(saved.Snapshot, &p.Snapshot); err != nil {
+		snap, err := decodeSnapshot(saved.Snapshot)
+		if err != nil {
 			return p, err
 		}
+		p.Snapshot = snap
 	}
 	for i, data := range saved.Entries {
 		e, err := DecodeEntry(saved.First+uint64(i), data)
@@ -114,11 +116,46 @@
 	return d.Append(b)
 }
 
-// SaveSnapshot stores a snapshot.
+// SaveSnapshot stores a snapshot: the length of its description, the
+// description in JSON, the state.
 func SaveSnapshot(d *disk.Disk, snap quorum.Snapshot) error {
-	data, err := json.Marshal(snap)
+	parts, err := snapshotParts(snap)
+	if err != nil {
+		return err
+	}
+	return d.SaveSnapshot(snap.Index, parts...)
+}
+
+// WriteSnapshot is SaveSnapshot for another goroutine: it leaves the log as it
+// is.
+func WriteSnapshot(d *disk.Disk, snap quorum.Snapshot) error {
+	parts, err := snapshotParts(snap)
 	if err != nil {
 		return err
 	}
-	return d.SaveSnapshot(snap.Index, data)
+	return d.WriteSnapshot(snap.Index, parts...)
+}
+
+func snapshotParts(snap quorum.Snapshot) ([][]byte, error) {
+	data := snap.Data
+	snap.Data = nil
+	meta, err := json.Marshal(snap)
+	return [][]byte{binary.LittleEndian.AppendUint32(nil, uint32(len(meta))), meta, data}, err
+}
+
+// decodeSnapshot reads what SaveSnapshot stored. Snapshots of the first release
+// are a JSON object as a whole.
+func decodeSnapshot(p []byte) (snap quorum.Snapshot, err error) {
+	if len(p) > 0 && p[0] == '{' && json.Valid(p) {
+		err = json.Unmarshal(p, &snap)
+		return snap, err
+	}
+	const size = 4
+	if len(p) < size || uint64(len(p)-size) < uint64(binary.LittleEndian.Uint32(p)) {
+		return snap, errors.New("the snapshot's description is cut")
+	}
+	n := int(binary.LittleEndian.Uint32(p))
+	err = json.Unmarshal(p[size:size+n], &snap)
+	snap.Data = p[size+n:]
+	return snap, err
 }
