--- a/internal/connection/place/table.go
+++ b/internal/connection/place/table.go
@@ -158,6 +158,9 @@
 	// Strict never exceeds a server's slots; otherwise the least loaded server
 	// gets the request even if it is full.
 	Strict bool
+	// Desperate takes a server that rests: all others do too, and a server that
+	// may be back is better than none.
+	Desperate bool
 }
 
 // Slot is a place at a server. It must be given back with Done.
@@ -214,7 +217,7 @@
 	switch {
 	case s.Service != w.Service, s.State != roster.Ready, t.zonesOut[s.Zone], w.Avoid[s.ID]:
 	case w.Model != "" && s.Weights[w.Model] < w.MinVersion:
-	case now.Before(s.restUntil), s.failures > 0 && s.probing:
+	case !w.Desperate && (now.Before(s.restUntil) || s.failures > 0 && s.probing):
 	case w.Strict && s.Slots > 0 && s.running >= s.Slots:
 	case t.cold(s, now) && s.credit < 1:
 	default:
--- /dev/null
+++ b/internal/connection/place/table_test.go
@@ -0,0 +1,205 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/plantainbank/plantainbank/internal/process/roster"
+	"github.com/plantainbank/plantainbank/internal/version/routing"
+)
+
+var start = time.Unix(1000, 0)
+
+func servers(n int) []roster.Instance {
+	var out []roster.Instance
+	for i := range n {
+		out = append(out, roster.Instance{ID: fmt.Sprintf("s%d", i), Addr: fmt.Sprintf("a%d", i), Service: "p", Slots: 4,
+			State: roster.Ready, Born: 1, Zone: "a", Weights: map[string]uint64{"m": 2}})
+	}
+	return out
+}
+
+func table(all []roster.Instance, service routing.Service) *Table {
+	t := NewTable()
+	service.Name = "p"
+	t.Update(all, nil, routing.NewTable(&routing.Config{Services: []routing.Service{service}}), 1)
+	return t
+}
+
+func TestWhatIsLeftOut(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(x *roster.Instance)
+		want   Want
+		taken  bool
+	}{
+		{"ready", func(*roster.Instance) {}, Want{Service: "p", Strict: true}, true},
+		{"draining", func(x *roster.Instance) { x.State = roster.Draining }, Want{Service: "p"}, false},
+		{"gone", func(x *roster.Instance) { x.State = roster.Gone }, Want{Service: "p"}, false},
+		{"another service", func(x *roster.Instance) { x.Service = "q" }, Want{Service: "p"}, false},
+		{"old weights", func(*roster.Instance) {}, Want{Service: "p", Model: "m", MinVersion: 3}, false},
+		{"weights that suit", func(*roster.Instance) {}, Want{Service: "p", Model: "m", MinVersion: 2}, true},
+		{"avoided", func(*roster.Instance) {}, Want{Service: "p", Avoid: map[string]bool{"s0": true}}, false},
+	} {
+		all := servers(1)
+		c.change(&all[0])
+		if _, ok := table(all, routing.Service{}).Take(c.want, start); ok != c.taken {
+			t.Errorf("%s: taken %v", c.name, ok)
+		}
+	}
+	out := table(servers(1), routing.Service{})
+	out.Update(servers(1), map[string]bool{"a": true}, nil, 1)
+	if _, ok := out.Take(Want{Service: "p"}, start); ok {
+		t.Error("a server of a zone that is out was taken")
+	}
+}
+
+// TestSlowServerGetsItsPart replays 600 items of 40 ms on four servers of which
+// one takes four times as long: it gets far less than a quarter, and not none.
+func TestSlowServerGetsItsPart(t *testing.T) {
+	tab := table(servers(4), routing.Service{})
+	type running struct {
+		slot Slot
+		end  time.Time
+		pace time.Duration
+	}
+	var all []running
+	count := map[string]int{}
+	now := start
+	for done := 0; done < 600; now = now.Add(5 * time.Millisecond) {
+		kept := all[:0]
+		for _, x := range all {
+			if now.Before(x.end) {
+				kept = append(kept, x)
+				continue
+			}
+			tab.Done(x.slot, Served, x.pace, now)
+			done++
+		}
+		all = kept
+		for len(all) < 8 {
+			slot, ok := tab.Take(Want{Service: "p", Strict: true}, now)
+			if !ok {
+				break
+			}
+			pace := 40 * time.Millisecond
+			if slot.ID == "s0" {
+				pace *= 4
+			}
+			count[slot.ID]++
+			all = append(all, running{slot, now.Add(pace), pace})
+		}
+	}
+	if count["s0"] > 75 || count["s0"] == 0 {
+		t.Fatalf("the slow server got %d of 600, others %v", count["s0"], count)
+	}
+}
+
+// TestBrokenServerRests breaks ten requests of one server at once: it rests as
+// for one failure, comes back with one request, and rests longer the next time.
+func TestBrokenServerRests(t *testing.T) {
+	tab := table(servers(1), routing.Service{})
+	want := Want{Service: "p"}
+	var slots []Slot
+	for range 10 {
+		slot, _ := tab.Take(want, start)
+		slots = append(slots, slot)
+	}
+	for _, slot := range slots {
+		tab.Done(slot, Broken, 0, start)
+	}
+	if _, ok := tab.Take(want, start.Add(restLeast-time.Millisecond)); ok {
+		t.Fatal("taken while it rests")
+	}
+	if _, ok := tab.Take(Want{Service: "p", Desperate: true}, start); !ok {
+		t.Fatal("not taken although there is no other")
+	}
+	tab.Done(slots[0], Abandoned, 0, start)
+	now := start.Add(restLeast)
+	probe, ok := tab.Take(want, now)
+	if !ok {
+		t.Fatal("not back after its rest")
+	}
+	if _, ok := tab.Take(want, now); ok {
+		t.Fatal("a second request beside the probe")
+	}
+	tab.Done(probe, Broken, 0, now)
+	if _, ok := tab.Take(want, now.Add(restLeast)); ok {
+		t.Fatal("the second rest is no longer")
+	}
+	probe, _ = tab.Take(want, now.Add(2*restLeast))
+	tab.Done(probe, Served, 0, now)
+	if _, ok := tab.Take(want, now); !ok {
+		t.Fatal("an answer does not end the suspicion")
+	}
+}
+
+func TestLateRequestsOfASoundServer(t *testing.T) {
+	tab := table(servers(1), routing.Service{})
+	want := Want{Service: "p"}
+	late1, _ := tab.Take(want, start)
+	late2, _ := tab.Take(want, start)
+	good, _ := tab.Take(want, start)
+	tab.Done(good, Served, 0, start.Add(time.Millisecond))
+	tab.Done(late1, Late, 0, start.Add(time.Second))
+	tab.Done(late2, Late, 0, start.Add(time.Second))
+	if _, ok := tab.Take(want, start.Add(time.Second)); !ok {
+		t.Fatal("a server that answers others rests")
+	}
+}
+
+// TestColdServersOverAllHosts lets seven hosts send all they can to one cold
+// server that bears 14 requests a second: in no second does it get more than
+// 14 x 1.5 + 5.
+func TestColdServersOverAllHosts(t *testing.T) {
+	const hosts, rate = 7, 14.0
+	all := servers(1)
+	all[0].ColdUntil = start.Add(3 * time.Second).UnixMilli()
+	service := routing.Service{Name: "p", Cold: 3 * time.Second, ColdRate: rate}
+	config := routing.NewTable(&routing.Config{Services: []routing.Service{service}})
+	var tables []*Table
+	for range hosts {
+		tab := NewTable()
+		tab.Update(all, nil, config, hosts)
+		tables = append(tables, tab)
+	}
+	var sent []time.Time
+	for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		for _, tab := range tables {
+			if slot, ok := tab.Take(Want{Service: "p"}, now); ok {
+				sent = append(sent, now)
+				tab.Done(slot, Served, 0, now)
+			}
+		}
+	}
+	for i, at := range sent {
+		n := 0
+		for _, x := range sent[i:] {
+			if x.Sub(at) < time.Second {
+				n++
+			}
+		}
+		if float64(n) > rate*1.5+5 {
+			t.Fatalf("%d requests in a second", n)
+		}
+	}
+	if len(sent) < 25 {
+		t.Fatalf("only %d requests in 3 s", len(sent))
+	}
+}
+
+func TestPreferredServerKeepsItsGroup(t *testing.T) {
+	tab := table(servers(3), routing.Service{})
+	for range 2 {
+		if slot, _ := tab.Take(Want{Service: "p", Prefer: "s2"}, start); slot.ID != "s2" {
+			t.Fatalf("went to %s", slot.ID)
+		}
+	}
+	for range 4 {
+		tab.Take(Want{Service: "p", Prefer: "s2"}, start)
+	}
+	if slot, _ := tab.Take(Want{Service: "p", Prefer: "s2"}, start); slot.ID == "s2" {
+		t.Fatal("load never overrides the preference")
+	}
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -26,8 +26,9 @@
 	// there is another attempt: a plain call takes 25 ms on average and 190 ms
 	// at most, so a server that is silent for longer is slow or gone.
 	attemptTimeout = 400 * time.Millisecond
-	// placeWait is the longest wait for a server while all of them rest.
-	placeWait = 300 * time.Millisecond
+	// placeWait is the longest wait for a server while all of them rest; then
+	// one that rests is tried.
+	placeWait = 100 * time.Millisecond
 	// placePause is the pause between two looks for a server.
 	placePause = 10 * time.Millisecond
 	// refusalsMost bounds the servers that may refuse one request.
@@ -174,9 +175,13 @@
 			want.Avoid = nil // one that failed before is better than none
 			continue
 		}
-		if !f.cfg.Table.Serves(want) || now.After(until) || ctx.Err() != nil {
+		if !f.cfg.Table.Serves(want) || want.Desperate || ctx.Err() != nil {
 			return place.Slot{}, false
 		}
+		if now.After(until) {
+			want.Desperate = true
+			continue
+		}
 		time.Sleep(placePause)
 	}
 }
