--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"os"
 	"time"
 
@@ -20,6 +22,9 @@
 // without a signal.
 const settingsPeriod = 2 * time.Second
 
+// pageTimeout bounds the reception of a request for the counters' page.
+const pageTimeout = 5 * time.Second
+
 // Host is one process.
 type Host struct {
 	Site    settings.Site
@@ -36,6 +41,24 @@
 	return &Host{Site: site, Log: logs.NewTo(out, site.Logs.Level, site.Role, site.Host), Scope: m.Scope, metrics: m, out: out}
 }
 
+// ServeMetrics serves the counters' page, if the settings name an address for
+// it, until ctx ends.
+func (h *Host) ServeMetrics(ctx context.Context) error {
+	if h.Site.Metrics == "" {
+		<-ctx.Done()
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", h.metrics.Page)
+	srv := &http.Server{Addr: h.Site.Metrics, Handler: mux, ReadHeaderTimeout: pageTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() }) // the listener's error is nobody's concern at the end
+	defer stop()
+	if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
 // Close writes what is left of the log.
 func (h *Host) Close() {
 	if err := h.metrics.Close(); err != nil {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -37,7 +37,7 @@
 	answerMost = 32 << 20
 	// watchPeriod is how often the caller's connection is looked at.
 	watchPeriod = 100 * time.Millisecond
-	// replyMargin is the part of the time limit that the answer's way takes.
+	// replyMargin is the part of the deadline that the answer's way takes.
 	replyMargin = 10 * time.Millisecond
 )
 
