--- a/internal/request/itemrun/run.go
+++ b/internal/request/itemrun/run.go
@@ -29,6 +29,8 @@
 	// event takes about 45 ms, on a slow engine 200 ms, and a load of weights
 	// may stand between two.
 	gapTimeout = 2 * time.Second
+	// refusalMost is the largest refusal in bytes.
+	refusalMost = 64 << 10
 )
 
 // End is how a run ended.
@@ -105,12 +107,12 @@
 
 func (r *Runner) run(ctx context.Context, slot place.Slot, b *batch.Batch, item batch.Item, p *Progress) Result {
 	req := r.request(slot, b, item, p)
-	a, err := r.Client.Do(ctx, slot.Addr, req, attempt.Options{Stream: true, IdleTimeout: firstTimeout, Unframed: true})
+	a, err := r.Client.Do(ctx, slot.Addr, req, attempt.Options{Stream: true, StreamIf: isStream,
+		IdleTimeout: firstTimeout, BodyMost: refusalMost, Unframed: true})
 	if err != nil {
 		return cut(err)
 	}
 	if status := a.Response.StatusCode(); status != http.StatusOK {
-		defer a.Close(false)
 		return r.refused(a, status)
 	}
 	if echo := string(a.Response.Header.Peek(r.Headers.Request)); echo != "" && echo != item.ID {
@@ -125,6 +127,10 @@
 	return Result{End: Whole, Status: http.StatusOK}
 }
 
+// isStream leaves refusals to be read whole, so that their connection is used
+// again.
+func isStream(h *fasthttp.ResponseHeader) bool { return h.StatusCode() == http.StatusOK }
+
 // request builds the request for tokens.
 func (r *Runner) request(slot place.Slot, b *batch.Batch, item batch.Item, p *Progress) *fasthttp.Request {
 	req := &fasthttp.Request{}
--- /dev/null
+++ b/internal/request/itemrun/run_test.go
@@ -0,0 +1,209 @@
+package itemrun
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/plantainbank/plantainbank/internal/connection/dialect"
+	"github.com/plantainbank/plantainbank/internal/connection/place"
+	"github.com/plantainbank/plantainbank/internal/request/batch"
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
+)
+
+var headers = dialect.Headers{Request: "X-Request", Instance: "X-Instance", Workspace: "X-Workspace", NotRun: "X-Not-Run",
+	Versions: "X-Versions", ResumeAfter: "Last-Event-Id"}
+
+// engine answers every request with the text that answer returns, and closes
+// the connection if the text ends with "CLOSE" or resets it with "RESET".
+func engine(t *testing.T, answer func(r *http.Request) string) (addr string, conns *atomic.Int32) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { lis.Close() })
+	conns = &atomic.Int32{}
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go talk(c.(*net.TCPConn), answer)
+		}
+	}()
+	return lis.Addr().String(), conns
+}
+
+func talk(c *net.TCPConn, answer func(r *http.Request) string) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		text := answer(r)
+		end := ""
+		for _, mark := range []string{"CLOSE", "RESET"} {
+			if rest, ok := strings.CutSuffix(text, mark); ok {
+				text, end = rest, mark
+			}
+		}
+		io.WriteString(c, text)
+		if end == "RESET" {
+			c.SetLinger(0)
+		}
+		if end != "" {
+			return
+		}
+	}
+}
+
+// chunked frames a stream of events; cut leaves out the last chunk.
+func chunked(version int, cut bool, events ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Versions: %d\r\nTransfer-Encoding: chunked\r\n\r\n", version)
+	for _, e := range events {
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(e), e)
+	}
+	if cut {
+		return b.String() + "CLOSE"
+	}
+	return b.String() + "0\r\n\r\n"
+}
+
+func unframed(events, end string) string {
+	return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Versions: 3\r\nConnection: close\r\n\r\n" + events + end
+}
+
+func run(t *testing.T, addr string, p *Progress) Result {
+	t.Helper()
+	r := &Runner{Client: attempt.NewClient(), Headers: headers}
+	return r.Run(context.Background(), place.Slot{ID: "e", Addr: addr}, &batch.Batch{Host: "h"}, batch.Item{ID: "i", Path: "/x"}, p)
+}
+
+func TestEndsOfARun(t *testing.T) {
+	one, two := "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for _, c := range []struct {
+		name, answer string
+		end          End
+		text         string
+		versions     string
+	}{
+		{"whole", chunked(3, false, one, two), Whole, "a\nb", "[3]"},
+		{"an event in two pieces", chunked(3, false, one, two[:5], two[5:]), Whole, "a\nb", "[3]"},
+		{"two lines of data", chunked(3, false, "id: 1\ndata: a\ndata: b\n\n"), Whole, "a\nb", "[3]"},
+		{"a version that changes", chunked(3, false, one, "x-versions: 4\n"+two), Whole, "a\nb", "[3 4]"},
+		{"the version changes before the first event", chunked(3, false, "x-versions: 4\n"+one), Whole, "a", "[4]"},
+		{"cut between events", chunked(3, true, one), Cut, "a", "[3]"},
+		{"cut in an event", chunked(3, true, one, "id: 2\ndata: b"), Cut, "a", "[3]"},
+		{"cut before the blank line", chunked(3, true, one, "id: 2\ndata: b\n"), Cut, "a", "[3]"},
+		{"a part of an event at a proper end", chunked(3, false, one, "id: 2\ndata: b\n"), Cut, "a", "[3]"},
+		{"no length, clean end", unframed(one+two, "CLOSE"), Whole, "a\nb", "[3]"},
+		{"no length, reset", unframed(one, "RESET"), Cut, "", ""},
+		{"no version", strings.Replace(chunked(3, false, one), "X-Versions: 3\r\n", "", 1), Cut, "", "[]"},
+		{"another request's answer", strings.Replace(chunked(3, false, one), "X-Versions", "X-Request: j\r\nX-Versions", 1), Cut, "", "[]"},
+		{"full", "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", NotRun, "", "[]"},
+		{"503 that does not say so", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", Failed, "", "[]"},
+		{"failed", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", Failed, "", "[]"},
+		{"hopeless", "HTTP/1.1 422 No\r\nContent-Length: 0\r\n\r\n", Hopeless, "", "[]"},
+		{"another instance", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", Elsewhere, "", "[]"},
+		{"no HTTP", "garbage\r\n\r\nCLOSE", Cut, "", "[]"},
+		{"nothing", "CLOSE", Cut, "", "[]"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr, _ := engine(t, func(*http.Request) string { return c.answer })
+			p := &Progress{}
+			res := run(t, addr, p)
+			if res.End != c.end {
+				t.Fatalf("got %+v, want %s", res, c.end)
+			}
+			if c.versions != "" && (p.Text() != c.text || fmt.Sprint(p.Versions) != c.versions) {
+				t.Fatalf("got %q %v", p.Text(), p.Versions)
+			}
+		})
+	}
+}
+
+// TestGoesOnAfterTheLastWholeEvent cuts a stream at every byte; the next run
+// asks for what follows the last whole event, and nothing stands twice.
+func TestGoesOnAfterTheLastWholeEvent(t *testing.T) {
+	events := []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"}
+	all := strings.Join(events, "")
+	for at := range len(all) {
+		first := true
+		addr, _ := engine(t, func(r *http.Request) string {
+			if first {
+				first = false
+				return chunked(3, true, all[:at+1])
+			}
+			after := r.Header.Get("Last-Event-Id")
+			if after == "" {
+				after = "0"
+			}
+			return chunked(4, false, events[after[0]-'0':]...)
+		})
+		p := &Progress{}
+		if res := run(t, addr, p); res.End != Cut {
+			t.Fatalf("cut at %d: %+v", at, res)
+		}
+		if res := run(t, addr, p); res.End != Whole || p.Text() != "a\nb\nc" {
+			t.Fatalf("cut at %d: %+v, %q", at, res, p.Text())
+		}
+	}
+}
+
+func TestRefusalKeepsTheConnection(t *testing.T) {
+	addr, conns := engine(t, func(*http.Request) string {
+		return "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbusy"
+	})
+	r := &Runner{Client: attempt.NewClient(), Headers: headers}
+	for range 5 {
+		r.Run(context.Background(), place.Slot{ID: "e", Addr: addr}, &batch.Batch{Host: "h"}, batch.Item{ID: "i", Path: "/x"}, &Progress{})
+	}
+	if n := conns.Load(); n != 1 {
+		t.Fatalf("%d connections for five refusals", n)
+	}
+}
+
+func TestStoppedRun(t *testing.T) {
+	block := make(chan struct{})
+	defer close(block)
+	addr, _ := engine(t, func(*http.Request) string { <-block; return "CLOSE" })
+	ctx, cancel := context.WithCancelCause(context.Background())
+	cause := errors.New("ended")
+	r := &Runner{Client: attempt.NewClient(), Headers: headers}
+	go cancel(cause)
+	res := r.Run(ctx, place.Slot{ID: "e", Addr: addr}, &batch.Batch{Host: "h"}, batch.Item{ID: "i", Path: "/x"}, &Progress{})
+	if res.End != Stopped || !errors.Is(res.Err, cause) {
+		t.Fatalf("got %+v", res)
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Add("id: 1\r\ndata: a\r\ndata:b\r\n\r\nx-versions: 4\nid: 2\n\n")
+	f.Add("x-versions: many\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := newReader(strings.NewReader(text), "X-Versions")
+		for n := 0; ; n++ {
+			if _, err := r.next(); err != nil {
+				return
+			}
+			if n > len(text) {
+				t.Fatal("more events than bytes")
+			}
+		}
+	})
+}
