Give each engine one model to follow where several trainers share the engines

Ruled out: processor (0.15 of 0.48 cores at most), garbage collection (0.8%). Change: each engine has a home, spread over models and zones, kept over leaders; 21 in 100 engines load at once. Replayed by TestThreeTrainersShareTheEngines.

--- /dev/null
+++ b/internal/process/weights/homes.go
@@ -0,0 +1,124 @@
+package weights
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/plantainbank/plantainbank/internal/process/roster"
+)
+
+// settleHomes gives each engine a model to follow. Engines keep their home;
+// one is moved only while a model has two engines more than another.
+func (p *Planner) settleHomes(named map[string]uint64, engines []roster.Instance) {
+	groups := map[string][]roster.Instance{}
+	for _, e := range engines {
+		if e.State == roster.Ready && len(e.Weights) > 0 {
+			models := slices.Sorted(maps.Keys(e.Weights))
+			key := ""
+			for _, m := range models {
+				key += m + "\x00"
+			}
+			groups[key] = append(groups[key], e)
+		}
+	}
+	p.forget(engines)
+	for _, all := range groups {
+		p.settleGroup(named, all)
+	}
+}
+
+func (p *Planner) forget(engines []roster.Instance) {
+	live := map[start]bool{}
+	for _, e := range engines {
+		live[start{e.ID, e.Born}] = true
+	}
+	for s := range p.homes {
+		if !live[s] {
+			delete(p.homes, s)
+		}
+	}
+}
+
+// count holds the engines of each model, in all and by availability zone.
+type count struct {
+	all    map[string]int
+	inZone map[string]map[string]int
+}
+
+func (c *count) add(model, zone string, n int) {
+	c.all[model] += n
+	if c.inZone[zone] == nil {
+		c.inZone[zone] = map[string]int{}
+	}
+	c.inZone[zone][model] += n
+}
+
+// least returns the model with the fewest engines, in the zone first.
+func (c *count) least(models []string, zone string) string {
+	return slices.MinFunc(models, func(a, b string) int {
+		return cmp.Or(cmp.Compare(c.all[a], c.all[b]), cmp.Compare(c.inZone[zone][a], c.inZone[zone][b]), cmp.Compare(a, b))
+	})
+}
+
+// settleGroup spreads engines that run the same models over those models that
+// trainers have named versions of.
+func (p *Planner) settleGroup(named map[string]uint64, engines []roster.Instance) {
+	var models []string
+	for _, m := range slices.Sorted(maps.Keys(engines[0].Weights)) {
+		if named[m] > 0 {
+			models = append(models, m)
+		}
+	}
+	if len(models) == 0 {
+		return
+	}
+	c := &count{map[string]int{}, map[string]map[string]int{}}
+	for _, e := range engines {
+		if m := p.homes[start{e.ID, e.Born}]; slices.Contains(models, m) {
+			c.add(m, e.Zone, 1)
+		}
+	}
+	for _, e := range engines {
+		key := start{e.ID, e.Born}
+		if m := p.homes[key]; slices.Contains(models, m) {
+			continue
+		}
+		m := c.inherit(named, models, e, len(engines))
+		p.homes[key] = m
+		c.add(m, e.Zone, 1)
+	}
+	p.balance(models, engines, c)
+}
+
+// inherit returns the model that an engine without a home should follow: the
+// one that it followed under an earlier leader, while that has too few engines,
+// or the one with the fewest.
+func (c *count) inherit(named map[string]uint64, models []string, e roster.Instance, engines int) string {
+	newest := slices.MinFunc(models, func(a, b string) int {
+		return cmp.Or(cmp.Compare(named[a]-min(named[a], e.Weights[a]), named[b]-min(named[b], e.Weights[b])), cmp.Compare(a, b))
+	})
+	distinct := slices.ContainsFunc(models, func(m string) bool {
+		return m != newest && named[m]-min(named[m], e.Weights[m]) > named[newest]-min(named[newest], e.Weights[newest])
+	})
+	if distinct && c.all[newest] < (engines+len(models)-1)/len(models) {
+		return newest
+	}
+	return c.least(models, e.Zone)
+}
+
+// balance moves engines from the models that have the most.
+func (p *Planner) balance(models []string, engines []roster.Instance, c *count) {
+	for {
+		most := slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(c.all[a], c.all[b]) })
+		least := slices.MinFunc(models, func(a, b string) int { return cmp.Compare(c.all[a], c.all[b]) })
+		if c.all[most]-c.all[least] < 2 {
+			return
+		}
+		i := slices.IndexFunc(engines, func(e roster.Instance) bool { return p.homes[start{e.ID, e.Born}] == most })
+		e := engines[i]
+		p.homes[start{e.ID, e.Born}] = least
+		c.add(most, e.Zone, -1)
+		c.add(least, e.Zone, 1)
+	}
+}
--- a/internal/process/weights/weights.go
+++ b/internal/process/weights/weights.go
@@ -5,7 +5,10 @@
 // may run under that version and the one before. A load takes about a second,
 // and longer while many engines load at once. So few engines load at a time,
 // those that are furthest behind first, each straight to the newest version;
-// all others go on serving.
+// all others go on serving. Several trainers share the engines: if every engine
+// loaded the versions of all models, the loads of three trainers would take
+// three times what the engines can load. So each engine has a home, one model
+// whose versions it follows, spread evenly over models and availability zones.
 package weights
 
 import (
@@ -20,7 +23,7 @@
 const (
 	// loadTime is how long a load takes on an engine that is not disturbed;
 	// after it the next engine may start.
-	loadTime = 1000 * time.Millisecond
+	loadTime = 950 * time.Millisecond
 	// confirmTimeout is how long an accepted order may stay without effect
 	// before it is given again.
 	confirmTimeout = 5 * time.Second
@@ -28,8 +31,9 @@
 	unknownTimeout = 2500 * time.Millisecond
 	// refusedPause is the time until an order that was refused is given again.
 	refusedPause = 400 * time.Millisecond
-	// enginesPerLoad is the number of engines for each that may load at once.
-	enginesPerLoad = 5
+	// loadPart is the part of the engines that may load at once before loads
+	// get slower: 2 of 11, 10 of 48.
+	loadPart = 0.21
 	// leastParallel is the number of engines that always may load at once.
 	leastParallel = 2
 )
@@ -64,6 +68,14 @@
 // use.
 type Planner struct {
 	flights map[string]*flight
+	// homes holds the model that an engine follows.
+	homes map[start]string
+}
+
+// start names one start of an engine.
+type start struct {
+	id   string
+	born int64
 }
 
 // flight is the latest order of an engine.
@@ -79,14 +91,15 @@
 }
 
 // New returns a planner without orders.
-func New() *Planner { return &Planner{flights: map[string]*flight{}} }
+func New() *Planner { return &Planner{flights: map[string]*flight{}, homes: map[start]string{}} }
 
 // Next returns the orders that are due now and counts them as given.
 func (p *Planner) Next(now time.Time, named map[string]uint64, engines []roster.Instance) []Order {
 	p.settle(now, engines)
-	free := max(leastParallel, len(engines)/enginesPerLoad) - p.loading(now)
+	free := max(leastParallel, int(loadPart*float64(loadable(engines)))) - p.loading(now)
 	var out []Order
-	for _, o := range behind(named, engines) {
+	p.settleHomes(named, engines)
+	for _, o := range p.behind(named, engines) {
 		if len(out) >= free {
 			break
 		}
@@ -100,17 +113,17 @@
 	return out
 }
 
-// behind lists what engines lack, the ones that are furthest behind first.
-func behind(named map[string]uint64, engines []roster.Instance) []Order {
+// behind lists what engines lack of the model that they follow, the ones that
+// are furthest behind first.
+func (p *Planner) behind(named map[string]uint64, engines []roster.Instance) []Order {
 	var out []Order
 	for _, e := range engines {
 		if e.State != roster.Ready {
 			continue
 		}
-		for model, held := range e.Weights {
-			if held < named[model] {
-				out = append(out, Order{e, model, named[model]})
-			}
+		model := p.homes[start{e.ID, e.Born}]
+		if held, ok := e.Weights[model]; ok && held < named[model] {
+			out = append(out, Order{e, model, named[model]})
 		}
 	}
 	slices.SortFunc(out, func(a, b Order) int {
@@ -120,6 +133,17 @@
 	return out
 }
 
+// loadable counts the engines that hold weights.
+func loadable(engines []roster.Instance) int {
+	n := 0
+	for _, e := range engines {
+		if len(e.Weights) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // settle forgets the orders that took effect and those that may be repeated.
 func (p *Planner) settle(now time.Time, engines []roster.Instance) {
 	held := map[string]roster.Instance{}
--- a/internal/process/weights/weights_test.go
+++ b/internal/process/weights/weights_test.go
@@ -99,3 +99,106 @@
 		t.Fatal("the order of an earlier start holds up the next one")
 	}
 }
+
+// TestThreeTrainersShareTheEngines replays three trainers that each name a
+// version every 4.5 s over 48 engines that hold all three models: each model
+// has a third of the engines, spread over the zones, which hold its version or
+// the one before when the next is named; and a new leader keeps the homes.
+func TestThreeTrainersShareTheEngines(t *testing.T) {
+	models := []string{"m0", "m1", "m2"}
+	var all []roster.Instance
+	for i := range 48 {
+		all = append(all, roster.Instance{ID: fmt.Sprintf("e%02d", i), Zone: fmt.Sprint("z", i%3), State: roster.Ready, Born: 1,
+			Weights: map[string]uint64{"m0": 1, "m1": 1, "m2": 1}})
+	}
+	p := New()
+	now := time.Unix(0, 0)
+	named := map[string]uint64{"m0": 1, "m1": 1, "m2": 1}
+	type load struct {
+		model   string
+		version uint64
+		done    time.Time
+	}
+	loads := map[int]load{}
+	index := map[string]int{}
+	for i := range all {
+		index[all[i].ID] = i
+	}
+	fit := func(model string, version uint64) int {
+		n := 0
+		for _, e := range all {
+			if e.Weights[model] >= version {
+				n++
+			}
+		}
+		return n
+	}
+	for step := range 900 {
+		now = now.Add(50 * time.Millisecond)
+		for i, m := range models {
+			if step%90 == 30*i {
+				if named[m] > 2 && fit(m, named[m]) < 6 {
+					t.Fatalf("at %v %d engines hold version %d of %s", now.Sub(time.Unix(0, 0)), fit(m, named[m]), named[m], m)
+				}
+				named[m]++
+			}
+		}
+		for i, l := range loads {
+			if !now.Before(l.done) {
+				w := map[string]uint64{}
+				for k, v := range all[i].Weights {
+					w[k] = v
+				}
+				w[l.model] = l.version
+				all[i].Weights = w
+				delete(loads, i)
+			}
+		}
+		for _, o := range p.Next(now, named, all) {
+			loads[index[o.Instance.ID]] = load{o.Model, o.Version, now.Add(1500 * time.Millisecond)}
+			p.Done(o, Accepted, now)
+		}
+	}
+	count := map[string]int{}
+	for _, m := range p.homes {
+		count[m]++
+	}
+	if count["m0"] != 16 || count["m1"] != 16 || count["m2"] != 16 {
+		t.Fatalf("homes are %v", count)
+	}
+	next := New()
+	next.Next(now, named, all)
+	moved := 0
+	for k, m := range p.homes {
+		if next.homes[k] != m {
+			moved++
+		}
+	}
+	if moved > 6 {
+		t.Fatalf("a new leader moved %d of 48 engines", moved)
+	}
+}
+
+func TestHomesFollowLosses(t *testing.T) {
+	var all []roster.Instance
+	for i := range 12 {
+		all = append(all, roster.Instance{ID: fmt.Sprintf("e%02d", i), State: roster.Ready, Born: 1, Weights: map[string]uint64{"a": 1, "b": 1}})
+	}
+	p := New()
+	named := map[string]uint64{"a": 2, "b": 2}
+	p.Next(time.Unix(0, 0), named, all)
+	var left []roster.Instance
+	for _, e := range all {
+		if p.homes[start{e.ID, 1}] != "a" || len(left) == 0 {
+			left = append(left, e)
+		}
+	}
+	p.Next(time.Unix(9, 0), named, left)
+	count := map[string]int{}
+	for _, m := range p.homes {
+		count[m]++
+	}
+	if count["a"]+count["b"] != len(left) || count["a"]-count["b"] > 1 || count["b"]-count["a"] > 1 {
+		t.Fatalf("homes are %v of %d engines", count, len(left))
+	}
+}
