List every result, also after the lease lapsed for a moment; search the queue less

Cause: a result whose proposal met a lapsed lease (0.38 s) was dropped while the process stayed leader; its item counted as running for ever, so its group was never whole. The lease lapsed since each event made the driver try every waiting item against every engine (400 x 48, 200 times a second).

--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -21,6 +21,11 @@
 	// dispatchPeriod is how often rests, pauses and credits are looked at when
 	// nothing else happens.
 	dispatchPeriod = 100 * time.Millisecond
+	// dispatchPause gathers what happens at once, since each look at the queue
+	// sorts all that waits.
+	dispatchPause = 4 * time.Millisecond
+	// listPause is the pause before a result is proposed again.
+	listPause = 50 * time.Millisecond
 	// runPause is the pause before an item that an engine refused runs again.
 	runPause = 60 * time.Millisecond
 	// failPause is the pause before an item that failed runs again.
@@ -118,6 +123,7 @@
 			return
 		case <-tick.C:
 		case <-d.wake:
+			time.Sleep(dispatchPause)
 		}
 		d.takeOffice(ctx)
 		d.takeEvents()
@@ -236,7 +242,7 @@
 		return
 	}
 	now := time.Now()
-	full := map[string]bool{}
+	full := map[need]bool{}
 	for _, x := range d.queue.Next(now) {
 		w := d.works[x.Key]
 		if w == nil {
@@ -262,8 +268,15 @@
 	return true
 }
 
+// need is what items ask of a server alike: when one finds no place, the others
+// need not look.
+type need struct {
+	service, model string
+	minVersion     uint64
+}
+
 // start runs an item if a server has a place for it.
-func (d *driver) start(ctx context.Context, k pick.Key, w *work, full map[string]bool, now time.Time) {
+func (d *driver) start(ctx context.Context, k pick.Key, w *work, full map[need]bool, now time.Time) {
 	route := d.state.Table.Named(w.batch.Route)
 	if route == nil {
 		route = d.state.Table.Route(w.batch.Host, w.item.Path)
@@ -272,6 +285,10 @@
 		return
 	}
 	w.service = route.Choose(draw(w.item.ID))
+	n := need{w.service, w.batch.Model, w.batch.MinVersion}
+	if full[n] {
+		return
+	}
 	home := w.batch.ID + " " + w.item.Group
 	want := place.Want{Service: w.service, Model: w.batch.Model, MinVersion: w.batch.MinVersion, Prefer: d.homes[home],
 		Avoid: w.avoid, Strict: true}
@@ -280,6 +297,7 @@
 	}
 	slot, ok := d.table.Take(want, now)
 	if !ok {
+		full[n] = len(w.avoid) == 0
 		w.avoid = nil
 		return
 	}
@@ -330,6 +348,14 @@
 	}
 }
 
+// holds reports whether the driver still has the work: it forgets all of it
+// when another process leads.
+func (d *driver) holds(k pick.Key, w *work) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.works[k] == w
+}
+
 func (d *driver) exhausted(w *work) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -413,20 +439,24 @@
 	d.poke()
 }
 
-// list commits a result. While the outcome is unknown and this process leads
-// it is tried again: an item is listed once, whatever is proposed.
+// list commits a result. Until another process leads it is tried again, also
+// while this one has no lease for a moment: an item is listed once, whatever is
+// proposed, and nobody else would list it.
 func (d *driver) list(ctx context.Context, k pick.Key, w *work, r batch.Result, why string) {
-	for {
+	for n := 0; ; n++ {
 		tryCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		err := d.s.propose(tryCtx, &batch.Command{List: &batch.List{Batch: k.Batch, Results: []batch.Result{r}}})
 		cancel()
 		if err == nil {
 			break
 		}
-		d.s.log.WithError(err).WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item}).Warn("result not listed yet")
-		if d.s.leading() != nil || ctx.Err() != nil {
+		if n == 0 {
+			d.s.log.WithError(err).WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item}).Warn("result not listed yet")
+		}
+		if ctx.Err() != nil || !d.holds(k, w) {
 			return
 		}
+		time.Sleep(listPause)
 	}
 	if r.State == batch.Dead {
 		d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "runs": w.runs, "failures": w.failures, "reason": why}).
--- a/pkg/process/quorum/core.go
+++ b/pkg/process/quorum/core.go
@@ -43,6 +43,12 @@
 	return Timing{Heartbeat: 100 * time.Millisecond, Election: 500 * time.Millisecond, Lease: 380 * time.Millisecond}
 }
 
+// SteadyTiming suits groups whose leader has much other work: it keeps its lease
+// over a stall of half a second, and a dead leader is replaced within 1.5 s.
+func SteadyTiming() Timing {
+	return Timing{Heartbeat: 100 * time.Millisecond, Election: 900 * time.Millisecond, Lease: 750 * time.Millisecond}
+}
+
 // Limits on one message and on the rounds that a leader remembers.
 const (
 	maxEntriesPerAppend = 256
