Do not let a server rest for one spoilt answer

Cause: TestBatchOutlivesItsLeader cut each item's first stream; each cut let the engine rest for 0.5 s and more, so 375 items took 29 s and the last expired. Change: only a refused connection, or two requests in a row without a whole answer and none served meanwhile, make a server rest (a crash ends all that run at it). Test: TestSpoiltAnswersTakeNoServerOut, and the one above.

--- a/internal/connection/place/table.go
+++ b/internal/connection/place/table.go
@@ -20,9 +20,9 @@
 	busyRest = 120 * time.Millisecond
 	// loadingRest follows a refusal while weights load, which takes 0.9 s.
 	loadingRest = 250 * time.Millisecond
-	// lateMost is the requests in a row without an answer that make a server
-	// count as broken.
-	lateMost = 2
+	// lostMost is the requests in a row without a whole answer that make a
+	// server count as broken: a crash ends all that run, a spoilt answer one.
+	lostMost = 2
 	// paceWeight is the weight of one sample in the moving average.
 	paceWeight = 0.25
 	// paceLeast and paceMost bound how much a pace counts against the others.
@@ -48,10 +48,11 @@
 	Full Outcome = "full"
 	// Loading servers did not run it since they load weights.
 	Loading Outcome = "loading"
-	// Broken means no answer, or not a whole one.
+	// Broken servers took no connection.
 	Broken Outcome = "broken"
-	// Late means that no answer came in time over a sound connection.
-	Late Outcome = "late"
+	// Lost means that no whole answer came over a connection that was open: the
+	// server may be sound.
+	Lost Outcome = "lost"
 	// Misdirected requests met another instance.
 	Misdirected Outcome = "misdirected"
 	// Abandoned requests were given up by their caller.
@@ -67,10 +68,10 @@
 	// restUntil ends a rest, failures counts the breaks since the last answer.
 	restUntil time.Time
 	failures  int
-	// served is when the server last answered, late counts the requests since
-	// then that it left without an answer.
+	// served is when the server last answered, lost counts the requests since
+	// then that got no whole answer.
 	served time.Time
-	late   int
+	lost   int
 	// probing is true while the only request after a rest runs.
 	probing bool
 	// credit and credited are the requests that a cold server may get.
@@ -323,13 +324,13 @@
 func (s *server) settle(x Slot, o Outcome, now time.Time) {
 	switch o {
 	case Served:
-		s.failures, s.restUntil, s.late, s.served = 0, time.Time{}, 0, now
-	case Late:
-		// A server that answers others meanwhile is sound: this request is slow.
+		s.failures, s.restUntil, s.lost, s.served = 0, time.Time{}, 0, now
+	case Lost:
+		// A server that answers others meanwhile is sound.
 		if s.served.After(x.Taken) {
 			return
 		}
-		if s.late++; s.late >= lateMost {
+		if s.lost++; s.lost >= lostMost {
 			s.breakDown(now)
 		}
 	case Full:
--- a/internal/connection/place/table_test.go
+++ b/internal/connection/place/table_test.go
@@ -135,18 +135,45 @@
 	}
 }
 
-func TestLateRequestsOfASoundServer(t *testing.T) {
+func TestLostRequestsOfASoundServer(t *testing.T) {
 	tab := table(servers(1), routing.Service{})
 	want := Want{Service: "p"}
-	late1, _ := tab.Take(want, start)
-	late2, _ := tab.Take(want, start)
+	lost1, _ := tab.Take(want, start)
+	lost2, _ := tab.Take(want, start)
 	good, _ := tab.Take(want, start)
 	tab.Done(good, Served, 0, start.Add(time.Millisecond))
-	tab.Done(late1, Late, 0, start.Add(time.Second))
-	tab.Done(late2, Late, 0, start.Add(time.Second))
+	tab.Done(lost1, Lost, 0, start.Add(time.Second))
+	tab.Done(lost2, Lost, 0, start.Add(time.Second))
 	if _, ok := tab.Take(want, start.Add(time.Second)); !ok {
 		t.Fatal("a server that answers others rests")
 	}
+	now := start.Add(2 * time.Second)
+	lost1, _ = tab.Take(want, now)
+	lost2, _ = tab.Take(want, now)
+	tab.Done(lost1, Lost, 0, now.Add(time.Millisecond))
+	tab.Done(lost2, Lost, 0, now.Add(time.Millisecond))
+	if _, ok := tab.Take(want, now.Add(2*time.Millisecond)); ok {
+		t.Fatal("a server whose requests all ended at once is used")
+	}
+}
+
+// TestSpoiltAnswersTakeNoServerOut spoils every third answer of a server: it
+// stays in use.
+func TestSpoiltAnswersTakeNoServerOut(t *testing.T) {
+	tab := table(servers(1), routing.Service{})
+	now := start
+	for i := range 60 {
+		now = now.Add(10 * time.Millisecond)
+		slot, ok := tab.Take(Want{Service: "p"}, now)
+		if !ok {
+			t.Fatalf("out of use at request %d", i)
+		}
+		outcome := Served
+		if i%3 == 0 {
+			outcome = Lost
+		}
+		tab.Done(slot, outcome, 0, now.Add(5*time.Millisecond))
+	}
 }
 
 // TestColdServersOverAllHosts lets seven hosts send all they can to one cold
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -341,7 +341,7 @@
 			return
 		}
 		d.again(k, w, slot, failPause)
-	case itemrun.Cut:
+	case itemrun.Cut, itemrun.Unreached:
 		d.again(k, w, slot, 0)
 	case itemrun.NotRun, itemrun.Elsewhere:
 		d.again(k, w, slot, runPause)
@@ -380,6 +380,8 @@
 	case itemrun.Elsewhere:
 		outcome = place.Misdirected
 	case itemrun.Cut:
+		outcome = place.Lost
+	case itemrun.Unreached:
 		outcome = place.Broken
 	case itemrun.Stopped:
 		outcome = place.Abandoned
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -301,15 +301,15 @@
 func (f *Forwarder) failed(ctx context.Context, s *state, slot place.Slot, err error, now time.Time) {
 	s.lastErr = err
 	s.avoid[slot.ID] = true
-	outcome := place.Broken
+	var e *attempt.Error
+	outcome := place.Lost
 	switch {
 	case ctx.Err() != nil:
 		outcome = place.Abandoned
-	case errors.Is(err, context.DeadlineExceeded):
-		outcome = place.Late
+	case errors.As(err, &e) && e.Phase == "connect":
+		outcome = place.Broken
 	}
 	f.cfg.Table.Done(slot, outcome, 0, now)
-	var e *attempt.Error
 	if errors.As(err, &e) && e.Ran == attempt.RanNo {
 		s.refused++
 	} else {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -62,7 +62,7 @@
 			return nil
 		}
 		if err != nil {
-			x.end(place.Broken)
+			x.end(place.Lost)
 			return err
 		}
 		if _, err := w.Write(event); err != nil {
--- a/internal/request/itemrun/run.go
+++ b/internal/request/itemrun/run.go
@@ -50,6 +50,8 @@
 	Elsewhere End = "elsewhere"
 	// Cut runs may go on elsewhere after their last event.
 	Cut End = "cut"
+	// Unreached means that no connection to the engine could be opened.
+	Unreached End = "unreached"
 	// Stopped runs were ended by this process.
 	Stopped End = "stopped"
 )
@@ -191,4 +193,10 @@
 	}
 }
 
-func cut(err error) Result { return Result{End: Cut, Err: err} }
+func cut(err error) Result {
+	var e *attempt.Error
+	if errors.As(err, &e) && e.Phase == "connect" {
+		return Result{End: Unreached, Err: err}
+	}
+	return Result{End: Cut, Err: err}
+}
