--- a/internal/process/director/office.go
+++ b/internal/process/director/office.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"slices"
 	"time"
 
 	"github.com/plantainbank/plantainbank/internal/process/roster"
@@ -128,6 +129,16 @@
 	return lead
 }
 
+// voters returns the store hosts that hold the batches, all if that is not
+// known.
+func (o *office) voters(stores []*fleet.Host, now time.Time) []*fleet.Host {
+	lead := o.storeLead(now)
+	if lead == nil {
+		return stores
+	}
+	return slices.DeleteFunc(stores, func(h *fleet.Host) bool { return !slices.Contains(lead.replica.Voters, h.Disk) })
+}
+
 // controlHosts lists the control processes for the plan of the membership. It
 // runs outside of the control goroutine.
 func (s *Server) controlHosts() []replica.Host {
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -99,6 +99,9 @@
 		n.Roster, n.Instances = o.roster.Revision, encode(o.roster.All())
 	}
 	n.Stores = hostsOf(o.live(settings.RoleStore, now))
+	if q.Role == settings.RoleEntry {
+		n.Stores = o.voters(n.Stores, now)
+	}
 	for _, m := range s.replica.Node().Status().Members {
 		n.Controls = append(n.Controls, m.Addr)
 	}
--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"hash/fnv"
 	"net"
 	"net/http"
 	"time"
@@ -130,8 +131,13 @@
 	return ErrUnsure
 }
 
-// Read returns results from a position on.
+// Read returns results from a position on. A store host chosen by the batch is
+// asked first, so that reading is spread over all that hold the batches; if it
+// has nothing to tell, the leader is asked.
 func (s *Server) Read(ctx context.Context, q *fleet.Position) (page *fleet.Page, err error) {
+	if page = s.readNear(ctx, q); page != nil {
+		return page, nil
+	}
 	_, err = s.batches.call(ctx, time.Duration(q.Waitms)*time.Millisecond, func(ctx context.Context, c fleet.Batches) error {
 		page, err = c.Read(ctx, q)
 		return err
@@ -139,6 +145,30 @@
 	return page, s.readError("read", q.Batch, err)
 }
 
+// readNear asks one store host for what it has, and returns nil if that is
+// nothing. The leader need not be asked twice.
+func (s *Server) readNear(ctx context.Context, q *fleet.Position) *fleet.Page {
+	st := s.feed.State()
+	if len(st.Stores) == 0 {
+		return nil
+	}
+	h := fnv.New32a()
+	h.Write([]byte(q.Batch))
+	near := st.Stores[int(h.Sum32())%len(st.Stores)].Addr
+	if near == st.Lead {
+		return nil
+	}
+	var page *fleet.Page
+	err := s.batches.once(ctx, near, 0, func(ctx context.Context, c fleet.Batches) (err error) {
+		page, err = c.Read(ctx, &fleet.Position{Batch: q.Batch, Workspace: q.Workspace, After: q.After})
+		return err
+	})
+	if err != nil || len(page.Results) == 0 {
+		return nil // the leader tells why
+	}
+	return page
+}
+
 // Body returns the body of an item that is not listed yet.
 func (s *Server) Body(ctx context.Context, q *fleet.ItemKey) (data []byte, err error) {
 	_, err = s.batches.call(ctx, 0, func(ctx context.Context, c fleet.Batches) error {
--- a/internal/process/store/batches.go
+++ b/internal/process/store/batches.go
@@ -57,11 +57,17 @@
 }
 
 // Read returns the results from a position on, and waits for the first one as
-// long as the caller says.
+// long as the caller says. Any replica answers with results that it has: what
+// it has applied is committed and never changes. That there is nothing, only
+// the leader can say.
 func (s *Server) Read(ctx context.Context, q *fleet.Position) (*fleet.Page, error) {
+	if page, results, ok := s.local(ctx, q); ok {
+		return s.fill(page, results)
+	}
 	timer := time.NewTimer(time.Duration(q.Waitms) * time.Millisecond)
 	defer timer.Stop()
 	for last := q.Waitms == 0; ; {
+		var results []batch.Result
 		var page *fleet.Page
 		var changed chan struct{}
 		enough := false
@@ -71,8 +77,8 @@
 			if b == nil || b.Workspace != q.Workspace {
 				return
 			}
-			page = pageOf(b, int(q.After))
-			enough = len(page.Results) > 0 || b.Ended || len(b.Results) == len(b.Items)
+			page, results = from(b, q.After)
+			enough = len(results) > 0 || b.Ended || len(b.Results) == len(b.Items)
 		})
 		switch {
 		case err != nil:
@@ -80,7 +86,7 @@
 		case page == nil:
 			return nil, twirp.NotFoundError("no such batch")
 		case enough, last:
-			return page, nil
+			return s.fill(page, results)
 		}
 		select {
 		case <-ctx.Done():
@@ -92,19 +98,44 @@
 	}
 }
 
-func pageOf(b *batch.Batch, after int) *fleet.Page {
-	page := &fleet.Page{Total: uint32(len(b.Items)), Next: uint32(after)}
+// local returns what this replica has from a position on; ok is false if that
+// is nothing.
+func (s *Server) local(ctx context.Context, q *fleet.Position) (page *fleet.Page, results []batch.Result, ok bool) {
+	err := s.replica.Node().Do(ctx, func() {
+		if b := s.batches.Get(q.Batch); b != nil && b.Workspace == q.Workspace {
+			page, results = from(b, q.After)
+		}
+	})
+	return page, results, err == nil && len(results) > 0
+}
+
+// from returns the results of a batch from a position on, and a page for them.
+func from(b *batch.Batch, after uint32) (*fleet.Page, []batch.Result) {
+	page := &fleet.Page{Total: uint32(len(b.Items)), Next: after}
+	if int(after) < len(b.Results) {
+		return page, b.Results[after:]
+	}
+	return page, nil
+}
+
+// fill puts results into a page, as many as it takes. Listed results never
+// change, so this needs not run on the control goroutine.
+func (s *Server) fill(page *fleet.Page, results []batch.Result) (*fleet.Page, error) {
 	size := 0
-	for i := after; i < len(b.Results); i++ {
-		r := b.Results[i]
-		size += len(r.Text)
-		if len(page.Results) > 0 && size > pageBytes {
+	for i := range results {
+		r := &results[i]
+		text, err := r.FullText()
+		if err != nil {
+			s.log.WithError(err).Error("a stored result is damaged")
+			return nil, wireError(err)
+		}
+		if size += len(text); len(page.Results) > 0 && size > pageBytes {
 			break
 		}
-		page.Results = append(page.Results, &fleet.Result{Item: r.Item, State: string(r.State), Text: r.Text, Versions: r.Versions})
-		page.Next = uint32(i + 1)
+		page.Results = append(page.Results, &fleet.Result{Item: r.Item, State: string(r.State), Text: text, Versions: r.Versions})
+		page.Next++
 	}
-	return page
+	return page, nil
 }
 
 // Body returns the body of an item that is not listed yet.
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -405,7 +405,12 @@
 		d.restart(k, w, "several versions produced it")
 		return
 	}
-	d.list(ctx, k, w, batch.Result{Item: k.Item, State: batch.Completed, Text: w.progress.Text(), Versions: w.progress.Versions}, "")
+	r := batch.Result{Item: k.Item, State: batch.Completed, Text: w.progress.Text(), Versions: w.progress.Versions}
+	if err := r.Pack(); err != nil {
+		d.s.log.WithError(err).WithField("item", k.Item).Warn("a text is stored as it is")
+	}
+	w.progress = itemrun.Progress{}
+	d.list(ctx, k, w, r, "")
 }
 
 func (d *driver) single(w *work) bool {
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -67,7 +68,7 @@
 		Apply:   s.apply,
 		Save:    func() []byte { return s.batches.Save() },
 		Restore: s.restore,
-		Freeze:  func() func() []byte { return s.batches.Freeze() },
+		Freeze:  func() func(io.Writer) error { return s.batches.Freeze() },
 		Changed: s.roleChanged,
 		Hosts:   s.storeHosts,
 	})
--- a/internal/request/batch/batch.go
+++ b/internal/request/batch/batch.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"slices"
 	"time"
 )
@@ -64,6 +65,8 @@
 	Item  string `json:"item"`
 	State State  `json:"state"`
 	Text  string `json:"text,omitempty"`
+	// Packed is the text in compressed form, in place of Text.
+	Packed []byte `json:"packed,omitempty"`
 	// Versions are the weight versions that produced the text.
 	Versions []uint64 `json:"versions,omitempty"`
 }
@@ -156,13 +159,24 @@
 	return s, nil
 }
 
-// Save encodes the store: a line of JSON for each batch.
-func (s *Store) Save() []byte { return s.Freeze()() }
+// Save encodes the store: a line of JSON for each batch. The buffer is made
+// large enough at once, since the state may take a good part of the memory.
+func (s *Store) Save() []byte {
+	size := 0
+	for _, b := range s.all {
+		size += b.size()
+	}
+	out := bytes.NewBuffer(make([]byte, 0, size))
+	if err := s.Freeze()(out); err != nil {
+		panic(err) // a buffer takes every write
+	}
+	return out.Bytes()
+}
 
-// Freeze returns the encoding of the store as it is now. The encoding may be
-// made by another goroutine while the store goes on: texts and bodies never
-// change, so only the batches and their lists are copied.
-func (s *Store) Freeze() (encode func() []byte) {
+// Freeze returns what writes the store as it is now. Another goroutine may call
+// it while the store goes on: texts and bodies never change, so only the
+// batches and their lists are copied.
+func (s *Store) Freeze() (write func(io.Writer) error) {
 	all := make([]*Batch, 0, len(s.all))
 	for _, b := range s.all {
 		c := *b
@@ -170,22 +184,14 @@
 		c.Results = slices.Clone(b.Results)
 		all = append(all, &c)
 	}
-	return func() []byte { return encodeAll(all) }
-}
-
-// encodeAll makes its buffer large enough at once, since the state may take a
-// good part of the memory.
-func encodeAll(all []*Batch) []byte {
-	size := 0
-	for _, b := range all {
-		size += b.size()
-	}
-	out := make([]byte, 0, size)
-	for i, b := range all {
-		out = append(append(out, encode(b)...), '\n')
-		all[i] = nil
+	return func(w io.Writer) error {
+		for _, b := range all {
+			if _, err := w.Write(append(encode(b), '\n')); err != nil {
+				return err
+			}
+		}
+		return nil
 	}
-	return out
 }
 
 // itemOverhead is about what an item or a result takes in JSON beyond its
@@ -202,7 +208,7 @@
 		}
 	}
 	for _, r := range b.Results {
-		n += itemOverhead + len(r.Text) + len(r.Text)/10
+		n += itemOverhead + len(r.Text) + len(r.Packed)*4/3
 	}
 	return n
 }
--- a/pkg/process/disk/disk.go
+++ b/pkg/process/disk/disk.go
@@ -8,16 +8,19 @@
 package disk
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/binary"
 	"encoding/gob"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"sync"
 	"syscall"
 
 	"github.com/zeebo/errs"
+	"github.com/zeebo/xxh3"
 )
 
 // Error wraps failures of the file system.
@@ -58,6 +61,8 @@
 	headerBytes   = 12
 	maxFrameBytes = 256 << 20
 	segmentBytes  = 16 << 20
+	// streamBuffer gathers the small writes of a snapshot.
+	streamBuffer = 64 << 10
 )
 
 // Files are the file operations that faults are injected into.
@@ -229,22 +234,55 @@
 }
 
 // WriteSnapshot stores a snapshot and leaves the segments as they are. It may
-// run beside Append, but only once at a time and not beside SaveSnapshot.
+// run beside Append, but not beside SaveSnapshot.
 func (d *Disk) WriteSnapshot(index uint64, parts ...[]byte) error {
+	return d.StreamSnapshot(index, func(w io.Writer) error {
+		for _, part := range parts {
+			if _, err := w.Write(part); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// StreamSnapshot is WriteSnapshot for data that is written bit by bit, so that
+// it is never in memory as a whole.
+func (d *Disk) StreamSnapshot(index uint64, write func(io.Writer) error) error {
 	d.snapshotMu.Lock()
 	defer d.snapshotMu.Unlock()
 	if index < d.snapshotIndex {
 		return nil // a newer one is there
 	}
-	head := binary.LittleEndian.AppendUint64([]byte(snapshotMagic), index)
-	body := append([][]byte{head}, parts...)
-	if err := d.replaceFile(snapshotFile, append([][]byte{header(body...)}, body...)...); err != nil {
+	err := d.replaceWith(snapshotFile, func(f *os.File) error { return d.streamFrame(f, index, write) })
+	if err != nil {
 		return err
 	}
 	d.snapshotIndex = index
 	return nil
 }
 
+// streamFrame writes a frame whose header follows when its body is known.
+func (d *Disk) streamFrame(f *os.File, index uint64, write func(io.Writer) error) error {
+	if _, err := d.files.Write(f, make([]byte, headerBytes)); err != nil {
+		return err
+	}
+	x := &frameWriter{write: func(p []byte) (int, error) { return d.files.Write(f, p) }, hash: xxh3.New()}
+	w := bufio.NewWriterSize(x, streamBuffer)
+	head := binary.LittleEndian.AppendUint64([]byte(snapshotMagic), index)
+	if _, err := w.Write(head); err != nil {
+		return err
+	}
+	if err := write(w); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	_, err := f.WriteAt(x.header(), 0)
+	return err
+}
+
 // Trim removes the segments that hold nothing after index. A snapshot up to
 // index must have been stored.
 func (d *Disk) Trim(index uint64) error {
@@ -268,17 +306,23 @@
 }
 
 // replaceFile writes a file whole: the old or the new content survives.
-func (d *Disk) replaceFile(name string, parts ...[]byte) error {
+func (d *Disk) replaceFile(name string, data []byte) error {
+	return d.replaceWith(name, func(f *os.File) error {
+		_, err := d.files.Write(f, data)
+		return err
+	})
+}
+
+// replaceWith is replaceFile for content that fill writes.
+func (d *Disk) replaceWith(name string, fill func(f *os.File) error) error {
 	path := filepath.Join(d.dir, name)
 	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	for _, part := range parts {
-		if _, err := d.files.Write(f, part); err != nil {
-			f.Close()
-			return Error.Wrap(err)
-		}
+	if err := fill(f); err != nil {
+		f.Close()
+		return Error.Wrap(err)
 	}
 	if err := errs.Combine(d.files.Sync(f), f.Close()); err != nil {
 		return Error.Wrap(err)
--- a/pkg/process/disk/frame.go
+++ b/pkg/process/disk/frame.go
@@ -39,17 +39,28 @@
 	return true
 }
 
-// header returns the header of a frame whose body consists of parts.
-func header(parts ...[]byte) []byte {
-	h := xxh3.New()
-	n := 0
-	for _, part := range parts {
-		h.Write(part)
-		n += len(part)
+// frameWriter passes a frame's body on and keeps what its header needs.
+type frameWriter struct {
+	write func(p []byte) (int, error)
+	hash  *xxh3.Hasher
+	size  int
+}
+
+// Write passes a piece of the body on.
+func (x *frameWriter) Write(p []byte) (int, error) {
+	n, err := x.write(p)
+	x.size += n
+	if err == nil {
+		_, err = x.hash.Write(p[:n])
 	}
+	return n, err
+}
+
+// header returns the header of the frame that was written.
+func (x *frameWriter) header() []byte {
 	p := make([]byte, headerBytes)
-	binary.LittleEndian.PutUint32(p, uint32(n))
-	binary.LittleEndian.PutUint64(p[4:], h.Sum64())
+	binary.LittleEndian.PutUint32(p, uint32(x.size))
+	binary.LittleEndian.PutUint64(p[4:], x.hash.Sum64())
 	return p
 }
 
--- a/pkg/process/quorum/node.go
+++ b/pkg/process/quorum/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"time"
 )
@@ -26,13 +27,13 @@
 	Restore func(data []byte) error
 	// SaveSnapshot stores a snapshot that replaces the log up to its index.
 	SaveSnapshot func(Snapshot) error
-	// Freeze returns the encoding of the state as it is now, to be made by
-	// another goroutine while commands go on. It may be nil; then Save is used
-	// on the node's goroutine.
-	Freeze func() (encode func() []byte)
-	// WriteSnapshot stores a frozen snapshot. It runs on another goroutine than
-	// Persist. Trim then drops the log that the snapshot replaces.
-	WriteSnapshot func(Snapshot) error
+	// Freeze returns what writes the state as it is now; another goroutine calls
+	// it while commands go on. It may be nil; then Save is used on the node's
+	// goroutine.
+	Freeze func() (write func(io.Writer) error)
+	// WriteSnapshot stores a frozen snapshot, whose data write writes. It runs on
+	// another goroutine than Persist. Trim then drops the log that it replaces.
+	WriteSnapshot func(s Snapshot, write func(io.Writer) error) error
 	Trim          func(index uint64) error
 	// SnapshotEvery is the number of applied entries between two snapshots.
 	SnapshotEvery uint64
@@ -126,6 +127,7 @@
 		written: make(chan frozen, 1),
 		saved:   cfg.Persisted.Snapshot.Index,
 	}
+	n.cfg.Persisted = Persisted{} // the core has taken it over and drops it in time
 	n.suspended.Store(int64(cfg.Suspended()))
 	n.publish()
 	return n, nil
@@ -313,11 +315,8 @@
 func (n *Node) freeze() {
 	n.freezing = true
 	snap := n.core.snapshotAt(n.core.applied)
-	encode := n.cfg.Freeze()
-	go func() {
-		snap.Data = encode()
-		n.written <- frozen{snap.Index, n.cfg.WriteSnapshot(snap)}
-	}()
+	write := n.cfg.Freeze()
+	go func() { n.written <- frozen{snap.Index, n.cfg.WriteSnapshot(snap, write)} }()
 }
 
 // trim drops the log that a written snapshot replaces.
--- a/pkg/process/quorum/suspend_test.go
+++ b/pkg/process/quorum/suspend_test.go
@@ -1,8 +1,10 @@
 package quorum
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -65,15 +67,18 @@
 			return nil
 		},
 		Apply: func(_ uint64, data []byte) any { state = append(state, data...); return nil },
-		Freeze: func() func() []byte {
+		Freeze: func() func(io.Writer) error {
 			now := slices.Clone(state)
-			return func() []byte { return now }
+			return func(w io.Writer) error { _, err := w.Write(now); return err }
 		},
-		WriteSnapshot: func(s Snapshot) error {
+		WriteSnapshot: func(s Snapshot, write func(io.Writer) error) error {
 			mu.Lock()
 			defer mu.Unlock()
+			var data bytes.Buffer
+			err := write(&data)
+			s.Data = data.Bytes()
 			disk.snap = s
-			return nil
+			return err
 		},
 		Trim: func(index uint64) error {
 			for i := range disk.entries {
--- a/pkg/process/replica/replica.go
+++ b/pkg/process/replica/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -42,9 +43,9 @@
 	Apply   func(index uint64, data []byte) any
 	Save    func() []byte
 	Restore func(data []byte) error
-	// Freeze returns the encoding of the state as it is now, to be made by
-	// another goroutine; nil means that Save is quick.
-	Freeze func() (encode func() []byte)
+	// Freeze returns what writes the state as it is now, for another goroutine;
+	// nil means that Save is quick.
+	Freeze func() (write func(io.Writer) error)
 	// Changed runs on the replica's goroutine when its role changes.
 	Changed func(quorum.Status)
 	// Hosts lists what this process knows of hosts that can hold a replica.
@@ -85,7 +86,7 @@
 		Restore:       cfg.Restore,
 		SaveSnapshot:  func(s quorum.Snapshot) error { return SaveSnapshot(d, s) },
 		Freeze:        cfg.Freeze,
-		WriteSnapshot: func(s quorum.Snapshot) error { return WriteSnapshot(d, s) },
+		WriteSnapshot: func(s quorum.Snapshot, write func(io.Writer) error) error { return WriteSnapshot(d, s, write) },
 		Trim:          d.Trim,
 		SnapshotEvery: snapshotEvery,
 		SnapshotBytes: snapshotBytes,
--- a/pkg/process/replica/wire.go
+++ b/pkg/process/replica/wire.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
+	"io"
 
 	"github.com/plantainbank/plantainbank/pkg/process/disk"
 	"github.com/plantainbank/plantainbank/pkg/process/quorum"
@@ -127,13 +128,20 @@
 }
 
 // WriteSnapshot is SaveSnapshot for another goroutine: it leaves the log as it
-// is.
-func WriteSnapshot(d *disk.Disk, snap quorum.Snapshot) error {
+// is, and write writes the state bit by bit.
+func WriteSnapshot(d *disk.Disk, snap quorum.Snapshot, write func(io.Writer) error) error {
 	parts, err := snapshotParts(snap)
 	if err != nil {
 		return err
 	}
-	return d.WriteSnapshot(snap.Index, parts...)
+	return d.StreamSnapshot(snap.Index, func(w io.Writer) error {
+		for _, part := range parts {
+			if _, err := w.Write(part); err != nil {
+				return err
+			}
+		}
+		return write(w)
+	})
 }
 
 func snapshotParts(snap quorum.Snapshot) ([][]byte, error) {
