--- a/pkg/process/quorum/replicate.go
+++ b/pkg/process/quorum/replicate.go
@@ -63,7 +63,7 @@
 // sendSnapshot asks the driver to send the state. While one is under way, only
 // heartbeats go to the peer.
 func (c *Core) sendSnapshot(to NodeID, p *progress) {
-	if c.round-p.snapshotRound < snapshotRounds && p.snapshotRound != 0 {
+	if c.snapshotUnderWay(p) {
 		c.send(Message{Kind: MsgAppend, To: to, LogIndex: c.log.snap.Index, LogTerm: c.log.snap.Term, Commit: 0, Round: c.round})
 		return
 	}
@@ -72,6 +72,19 @@
 	c.send(Message{Kind: MsgSnapshot, To: to, Round: c.round, Snapshot: &snap})
 }
 
+// snapshotUnderWay reports whether a snapshot was sent lately, to p or to
+// another peer that has not caught up: one at a time, since each takes the
+// memory of the whole state.
+func (c *Core) snapshotUnderWay(p *progress) bool {
+	for _, x := range c.peers {
+		behind := x == p || x.match < c.log.snap.Index
+		if behind && x.snapshotRound != 0 && c.round-x.snapshotRound < snapshotRounds {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) stepAppend(m Message, now time.Time) {
 	c.follow(m, now)
 	if m.LogIndex < c.commit {
