--- a/cmd/plantainbank/cmds/snapshot.go
+++ b/cmd/plantainbank/cmds/snapshot.go
@@ -1,12 +1,12 @@
 package cmds
 
 import (
-	"encoding/json"
 	"fmt"
 
+	"github.com/plantainbank/plantainbank/internal/request/batch"
 	"github.com/plantainbank/plantainbank/pkg/process/disk"
 	"github.com/plantainbank/plantainbank/pkg/process/ledger"
-	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+	"github.com/plantainbank/plantainbank/pkg/process/replica"
 )
 
 func snapshotSaveCommand() command {
@@ -41,21 +41,31 @@
 	if err != nil {
 		return err
 	}
-	records := 0
-	var snap quorum.Snapshot
-	if saved.Snapshot != nil {
-		if err := json.Unmarshal(saved.Snapshot, &snap); err != nil {
-			return &disk.CorruptError{File: dir, Reason: err.Error()}
-		}
-	}
-	if len(snap.Data) > 0 {
-		l, err := ledger.Restore(snap.Data)
-		if err != nil {
-			return &disk.CorruptError{File: dir, Reason: err.Error()}
-		}
-		records = len(l.Records)
-	}
-	fmt.Fprintf(env.out, "%s is sound: snapshot at %d with %d records, %d log entries after it, %d bytes of an unfinished write\n",
-		dir, saved.SnapshotIndex, records, len(saved.Entries), saved.CutBytes)
+	persisted, err := replica.DecodeSaved(saved)
+	if err != nil {
+		return &disk.CorruptError{File: dir, Reason: err.Error()}
+	}
+	held, err := holds(persisted.Snapshot.Data)
+	if err != nil {
+		return &disk.CorruptError{File: dir, Reason: err.Error()}
+	}
+	fmt.Fprintf(env.out, "%s is sound: snapshot at %d with %s, %d log entries after it, %d bytes of an unfinished write\n",
+		dir, saved.SnapshotIndex, held, len(saved.Entries), saved.CutBytes)
 	return nil
 }
+
+// holds tells what a snapshot holds: the batches of a store process are lines
+// of JSON, the records of a control process one object.
+func holds(data []byte) (string, error) {
+	if len(data) == 0 {
+		return "0 records", nil
+	}
+	if l, err := ledger.Restore(data); err == nil {
+		return fmt.Sprintf("%d records", len(l.Records)), nil
+	}
+	b, err := batch.Restore(data)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d batches", len(b.All())), nil
+}
