--- a/internal/process/director/usage.go
+++ b/internal/process/director/usage.go
@@ -36,7 +36,7 @@
 			counts = w.Counts
 		}
 		o.closing = true
-		go s.report1(ctx, o, n, w != nil, counts)
+		go s.closeWindow(ctx, o, n, w != nil, counts)
 		return
 	}
 }
@@ -52,8 +52,8 @@
 	return sum
 }
 
-// report1 closes and reports one window.
-func (s *Server) report1(ctx context.Context, o *office, n uint64, closed bool, counts map[string]uint64) {
+// closeWindow closes and reports one window.
+func (s *Server) closeWindow(ctx context.Context, o *office, n uint64, closed bool, counts map[string]uint64) {
 	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
 	defer cancel()
 	var err error
