Let a caller's stream live until it is copied

Cause: the request's context ended when the answer's header was there, which closed the server's connection: no stream longer than its first packet reached a caller. Change: the stream ends the request.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -113,12 +113,19 @@
 // Do runs a request and returns its answer.
 func (f *Forwarder) Do(ctx context.Context, r *Request) *Answer {
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	stop := watch(r.Watch, cancel)
-	defer stop()
+	end := func() {
+		stop()
+		cancel(nil)
+	}
 	s := &state{Request: r, start: time.Now(), avoid: map[string]bool{}}
 	a := f.do(ctx, s)
 	f.note(s, a)
+	if a.Stream != nil {
+		a.Stream.ctx, a.Stream.done = ctx, end // it lives on until it is copied
+		return a
+	}
+	end()
 	return a
 }
 
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -26,6 +26,9 @@
 	slot   place.Slot
 	answer *attempt.Answer
 	cancel context.CancelFunc
+	// ctx ends when the caller leaves; done ends the request.
+	ctx    context.Context
+	done   func()
 	lastID []byte
 	events int
 }
@@ -37,13 +40,13 @@
 // Copy writes the stream to w until its end. An error means that the stream
 // is not whole; the caller's connection must be closed then.
 func (x *Stream) Copy(w *bufio.Writer) error {
-	left := func() bool { return x.s.Watch != nil && x.s.Watch() }
+	defer x.done()
 	for {
 		err := x.copyOne(w)
 		if err == nil {
 			return nil
 		}
-		if left() || !x.resume(err) {
+		if x.ctx.Err() != nil || !x.resume(err) {
 			x.f.cfg.Log.WithFields(logrus.Fields{"request": x.s.ID, "instance": x.slot.ID, "events": x.events}).
 				WithError(err).Info("stream broke")
 			return err
@@ -96,13 +99,12 @@
 	if len(x.lastID) > 0 {
 		x.s.Raw.Header.SetBytesV(x.f.cfg.Headers.ResumeAfter, x.lastID)
 	}
-	ctx := context.Background()
-	for x.f.again(ctx, x.s) {
-		slot, ok := x.f.place(ctx, x.s)
+	for x.f.again(x.ctx, x.s) {
+		slot, ok := x.f.place(x.ctx, x.s)
 		if !ok {
 			return false
 		}
-		a, done := x.f.try(ctx, x.s, slot)
+		a, done := x.f.try(x.ctx, x.s, slot)
 		if !done {
 			continue
 		}
