Send a state in pieces, and keep batches in protobuf

Cause: a wiped store host got the whole state as one message: the leader held it in JSON and in the message, the receiver in the request, in the message and decoded.

Batches and commands of the store's log are protobuf; JSON of before is still read. Texts are made valid UTF-8 once, so that a spoilt byte can not make a result unreadable.

--- a/cmd/plantainbank/cmds/snapshot.go
+++ b/cmd/plantainbank/cmds/snapshot.go
@@ -1,11 +1,14 @@
 package cmds
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 
 	"github.com/plantainbank/plantainbank/internal/request/batch"
 	"github.com/plantainbank/plantainbank/pkg/process/disk"
 	"github.com/plantainbank/plantainbank/pkg/process/ledger"
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
 	"github.com/plantainbank/plantainbank/pkg/process/replica"
 )
 
@@ -45,7 +48,7 @@
 	if err != nil {
 		return &disk.CorruptError{File: dir, Reason: err.Error()}
 	}
-	held, err := holds(persisted.Snapshot.Data)
+	held, err := holds(&persisted.Snapshot)
 	if err != nil {
 		return &disk.CorruptError{File: dir, Reason: err.Error()}
 	}
@@ -54,16 +57,22 @@
 	return nil
 }
 
-// holds tells what a snapshot holds: the batches of a store process are lines
-// of JSON, the records of a control process one object.
-func holds(data []byte) (string, error) {
-	if len(data) == 0 {
-		return "0 records", nil
+// holds tells what a snapshot holds: the batches of a store process, or the
+// records of a control process, which are one JSON object.
+func holds(snap *quorum.Snapshot) (string, error) {
+	r, err := snap.Reader()
+	if r == nil {
+		return "0 records", err
+	}
+	defer r.Close()
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return "", err
 	}
 	if l, err := ledger.Restore(data); err == nil {
 		return fmt.Sprintf("%d records", len(l.Records)), nil
 	}
-	b, err := batch.Restore(data)
+	b, err := batch.Restore(bytes.NewReader(data))
 	if err != nil {
 		return "", err
 	}
--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -194,7 +195,11 @@
 	return changed
 }
 
-func (s *Server) restore(data []byte) error {
+func (s *Server) restore(r io.Reader) error {
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
 	c, err := catalog.Restore(data)
 	if err != nil {
 		return err
--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"hash/fnv"
 	"net"
@@ -109,7 +108,7 @@
 // Submit stores a batch, once. The error is ErrNotStored if it surely is not
 // stored, and ErrUnsure if it may be.
 func (s *Server) Submit(ctx context.Context, x *batch.Batch) error {
-	data, err := json.Marshal(x)
+	data, err := x.Encode()
 	if err != nil {
 		return err
 	}
--- a/internal/process/store/batches.go
+++ b/internal/process/store/batches.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -26,18 +25,18 @@
 // Submit stores a batch, once. The answer FailedPrecondition says that it was
 // surely not stored; Unavailable says that the outcome is unknown.
 func (s *Server) Submit(ctx context.Context, q *fleet.Submission) (*fleet.Nothing, error) {
-	var b batch.Batch
-	if err := json.Unmarshal(q.Batch, &b); err != nil {
+	b, err := batch.Decode(q.Batch)
+	if err != nil {
 		return nil, twirp.InvalidArgumentError("batch", err.Error())
 	}
 	if b.ID == "" || b.ID != q.Id {
 		return nil, twirp.InvalidArgumentError("id", "does not match the batch")
 	}
 	known := false
-	err := s.onLeader(ctx, func() { known = s.batches.Get(b.ID) != nil })
+	err = s.onLeader(ctx, func() { known = s.batches.Get(b.ID) != nil })
 	if err == nil && !known {
 		b.Submitted = time.Now().UnixMilli()
-		err = s.proposeWithin(ctx, &batch.Command{Accept: &b})
+		err = s.proposeWithin(ctx, &batch.Command{Accept: b})
 	}
 	entry := s.log.WithFields(logrus.Fields{"batch": b.ID, "items": len(b.Items), "step": b.Step, "route": b.Route,
 		"min_version": b.MinVersion, "known": known})
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -178,8 +178,8 @@
 	}
 }
 
-func (s *Server) restore(data []byte) error {
-	b, err := batch.Restore(data)
+func (s *Server) restore(r io.Reader) error {
+	b, err := batch.Restore(r)
 	if err != nil {
 		return err
 	}
--- a/internal/request/batch/batch.go
+++ b/internal/request/batch/batch.go
@@ -1,9 +1,6 @@
 package batch
 
 import (
-	"bytes"
-	"encoding/json"
-	"fmt"
 	"io"
 	"slices"
 	"time"
@@ -128,51 +125,12 @@
 	Results []Result `json:"results"`
 }
 
-// Encode returns the bytes of a command.
-func (c *Command) Encode() []byte { return encode(c) }
-
-func encode(v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // plain structs always encode
-	}
-	return data
-}
-
 // Store holds the batches. It is not safe for concurrent use.
 type Store struct{ all map[string]*Batch }
 
 // NewStore returns an empty store.
 func NewStore() *Store { return &Store{all: map[string]*Batch{}} }
 
-// Restore returns the store that Save encoded.
-func Restore(data []byte) (*Store, error) {
-	s := NewStore()
-	for line := range bytes.Lines(data) {
-		b := &Batch{}
-		if err := json.Unmarshal(line, b); err != nil {
-			return nil, fmt.Errorf("batches: %w", err)
-		}
-		b.prepare()
-		s.all[b.ID] = b
-	}
-	return s, nil
-}
-
-// Save encodes the store: a line of JSON for each batch. The buffer is made
-// large enough at once, since the state may take a good part of the memory.
-func (s *Store) Save() []byte {
-	size := 0
-	for _, b := range s.all {
-		size += b.size()
-	}
-	out := bytes.NewBuffer(make([]byte, 0, size))
-	if err := s.Freeze()(out); err != nil {
-		panic(err) // a buffer takes every write
-	}
-	return out.Bytes()
-}
-
 // Freeze returns what writes the store as it is now. Another goroutine may call
 // it while the store goes on: texts and bodies never change, so only the
 // batches and their lists are copied.
@@ -184,33 +142,13 @@
 		c.Results = slices.Clone(b.Results)
 		all = append(all, &c)
 	}
-	return func(w io.Writer) error {
-		for _, b := range all {
-			if _, err := w.Write(append(encode(b), '\n')); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
+	return func(w io.Writer) error { return writeAll(w, all) }
 }
 
-// itemOverhead is about what an item or a result takes in JSON beyond its
-// texts, in bytes.
-const itemOverhead = 160
-
-// size estimates the length of a batch in JSON.
-func (b *Batch) size() int {
-	n := itemOverhead
-	for _, x := range b.Items {
-		n += itemOverhead + len(x.Path) + len(x.Body)*4/3
-		for k, v := range x.Headers {
-			n += len(k) + len(v) + itemOverhead/16
-		}
-	}
-	for _, r := range b.Results {
-		n += itemOverhead + len(r.Text) + len(r.Packed)*4/3
-	}
-	return n
+// put takes a batch in.
+func (s *Store) put(b *Batch) {
+	b.prepare()
+	s.all[b.ID] = b
 }
 
 // Get returns a batch, or nil.
@@ -229,9 +167,9 @@
 
 // Apply carries out one encoded command.
 func (s *Store) Apply(data []byte) (Effect, error) {
-	var c Command
-	if err := json.Unmarshal(data, &c); err != nil {
-		return Effect{}, fmt.Errorf("batch command: %w", err)
+	c, err := decodeCommand(data)
+	if err != nil {
+		return Effect{}, err
 	}
 	switch {
 	case c.Accept != nil:
@@ -251,8 +189,7 @@
 	if s.all[b.ID] != nil {
 		return Effect{}
 	}
-	b.prepare()
-	s.all[b.ID] = b
+	s.put(b)
 	return Effect{Accepted: b}
 }
 
--- a/internal/request/batch/batch_test.go
+++ b/internal/request/batch/batch_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
@@ -41,7 +42,7 @@
 			case 3:
 				apply(t, s, &Command{End: id})
 			case 4:
-				back, err := Restore(s.Save())
+				back, err := Restore(bytes.NewReader(s.Save()))
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/request/itemrun/run.go
+++ b/internal/request/itemrun/run.go
@@ -66,8 +66,11 @@
 	Versions []uint64
 }
 
-// Text returns the item's text.
-func (p *Progress) Text() string { return strings.Join(p.Data, "\n") }
+// Text returns the item's text. Event streams are UTF-8; what is not is replaced,
+// as their specification says.
+func (p *Progress) Text() string {
+	return strings.ToValidUTF8(strings.Join(p.Data, "\n"), "\uFFFD")
+}
 
 func (p *Progress) add(e event, version uint64) {
 	p.Data = append(p.Data, e.data)
--- a/pkg/process/control/control.go
+++ b/pkg/process/control/control.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -218,7 +219,11 @@
 	return result
 }
 
-func (s *Server) restore(data []byte) error {
+func (s *Server) restore(r io.Reader) error {
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
 	l, err := ledger.Restore(data)
 	if err != nil {
 		return err
--- a/pkg/process/control/transport.go
+++ b/pkg/process/control/transport.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/plantainbank/plantainbank/pkg/process/quorum"
 	"github.com/plantainbank/plantainbank/pkg/process/replica"
 	"github.com/plantainbank/plantainbank/service/peer"
@@ -35,6 +37,11 @@
 	return &peer.Empty{}, nil
 }
 
+// Install refuses: the records of a deployment fit one message.
+func (p *peerService) Install(context.Context, *peer.Piece) (*peer.Empty, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "the state goes as one message")
+}
+
 // Hello tells who answers at this address.
 func (p *peerService) Hello(context.Context, *peer.Empty) (*peer.Identity, error) {
 	st := p.s.node.Status()
--- a/pkg/process/disk/disk.go
+++ b/pkg/process/disk/disk.go
@@ -8,19 +8,15 @@
 package disk
 
 import (
-	"bufio"
 	"bytes"
-	"encoding/binary"
 	"encoding/gob"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"sync"
 	"syscall"
 
 	"github.com/zeebo/errs"
-	"github.com/zeebo/xxh3"
 )
 
 // Error wraps failures of the file system.
@@ -61,8 +57,6 @@
 	headerBytes   = 12
 	maxFrameBytes = 256 << 20
 	segmentBytes  = 16 << 20
-	// streamBuffer gathers the small writes of a snapshot.
-	streamBuffer = 64 << 10
 )
 
 // Files are the file operations that faults are injected into.
@@ -116,16 +110,6 @@
 	last uint64
 }
 
-// snapshotMagic begins the body of a snapshot; eight bytes with its index and
-// the data follow. Bodies without it are of the first release, see legacyBody.
-const snapshotMagic = "pbsnap2\x00"
-
-// legacyBody is the content of a snapshot file of the first release.
-type legacyBody struct {
-	Index uint64
-	Data  []byte
-}
-
 // Open locks the folder, creates it if needed and reads its content.
 func Open(dir string, files Files) (*Disk, *Saved, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
@@ -220,69 +204,6 @@
 	return d.syncDir()
 }
 
-// SaveSnapshot stores a snapshot that covers the entries up to index, then
-// removes the segments that hold nothing after it. The data is written part by
-// part: it may be as large as the state, and is not copied.
-func (d *Disk) SaveSnapshot(index uint64, parts ...[]byte) error {
-	if d.broken != nil {
-		return &BrokenError{Cause: d.broken}
-	}
-	if err := d.WriteSnapshot(index, parts...); err != nil {
-		return d.fail(err)
-	}
-	return d.Trim(index)
-}
-
-// WriteSnapshot stores a snapshot and leaves the segments as they are. It may
-// run beside Append, but not beside SaveSnapshot.
-func (d *Disk) WriteSnapshot(index uint64, parts ...[]byte) error {
-	return d.StreamSnapshot(index, func(w io.Writer) error {
-		for _, part := range parts {
-			if _, err := w.Write(part); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-}
-
-// StreamSnapshot is WriteSnapshot for data that is written bit by bit, so that
-// it is never in memory as a whole.
-func (d *Disk) StreamSnapshot(index uint64, write func(io.Writer) error) error {
-	d.snapshotMu.Lock()
-	defer d.snapshotMu.Unlock()
-	if index < d.snapshotIndex {
-		return nil // a newer one is there
-	}
-	err := d.replaceWith(snapshotFile, func(f *os.File) error { return d.streamFrame(f, index, write) })
-	if err != nil {
-		return err
-	}
-	d.snapshotIndex = index
-	return nil
-}
-
-// streamFrame writes a frame whose header follows when its body is known.
-func (d *Disk) streamFrame(f *os.File, index uint64, write func(io.Writer) error) error {
-	if _, err := d.files.Write(f, make([]byte, headerBytes)); err != nil {
-		return err
-	}
-	x := &frameWriter{write: func(p []byte) (int, error) { return d.files.Write(f, p) }, hash: xxh3.New()}
-	w := bufio.NewWriterSize(x, streamBuffer)
-	head := binary.LittleEndian.AppendUint64([]byte(snapshotMagic), index)
-	if _, err := w.Write(head); err != nil {
-		return err
-	}
-	if err := write(w); err != nil {
-		return err
-	}
-	if err := w.Flush(); err != nil {
-		return err
-	}
-	_, err := f.WriteAt(x.header(), 0)
-	return err
-}
-
 // Trim removes the segments that hold nothing after index. A snapshot up to
 // index must have been stored.
 func (d *Disk) Trim(index uint64) error {
--- a/pkg/process/disk/disk_test.go
+++ b/pkg/process/disk/disk_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -71,6 +72,20 @@
 	}
 }
 
+func snapshotText(t *testing.T, saved *Saved) string {
+	t.Helper()
+	r, err := saved.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	data, err := io.ReadAll(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
 func TestSnapshotDropsCoveredSegments(t *testing.T) {
 	dir := t.TempDir()
 	d, _ := mustOpen(t, dir, RealFiles())
@@ -85,8 +100,8 @@
 	d.Close()
 	d, saved := mustOpen(t, dir, RealFiles())
 	defer d.Close()
-	if string(saved.Snapshot) != "state-3" || saved.First != 4 || !slices.Equal(texts(saved), []string{"d"}) {
-		t.Fatalf("snapshot %q, first %d, entries %q", saved.Snapshot, saved.First, texts(saved))
+	if got := snapshotText(t, saved); got != "state-3" || saved.First != 4 || !slices.Equal(texts(saved), []string{"d"}) {
+		t.Fatalf("snapshot %q, first %d, entries %q", got, saved.First, texts(saved))
 	}
 	if string(saved.Hard) != "hard-4" {
 		t.Fatalf("hard state is %q", saved.Hard)
--- a/pkg/process/disk/load.go
+++ b/pkg/process/disk/load.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"encoding/gob"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"math/rand/v2"
 	"os"
@@ -18,8 +18,8 @@
 // Saved is the content of a data folder.
 type Saved struct {
 	Hard []byte
-	// Snapshot is nil if there is none.
-	Snapshot      []byte
+	// Snapshot opens the data of the snapshot; it is nil if there is none.
+	Snapshot      func() (io.ReadCloser, error)
 	SnapshotIndex uint64
 	// Entries[i] has index First+i.
 	First   uint64
@@ -32,6 +32,7 @@
 	if err := d.loadIdentity(); err != nil {
 		return nil, err
 	}
+	d.dropStages()
 	saved := &Saved{}
 	if err := d.loadSnapshot(saved); err != nil {
 		return nil, err
@@ -66,36 +67,6 @@
 	return d.replaceFile(identityFile, []byte(strconv.FormatUint(d.id, 16)+"\n"))
 }
 
-func (d *Disk) loadSnapshot(saved *Saved) error {
-	path := filepath.Join(d.dir, snapshotFile)
-	data, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	body, n, reason := readFrame(data)
-	if reason != "" || n != len(data) {
-		return &CorruptError{File: path, Reason: "snapshot " + reason}
-	}
-	if saved.SnapshotIndex, saved.Snapshot, err = decodeSnapshot(body); err != nil {
-		return &CorruptError{File: path, Reason: err.Error()}
-	}
-	d.last, d.snapshotIndex = saved.SnapshotIndex, saved.SnapshotIndex
-	return nil
-}
-
-// decodeSnapshot reads the body of a snapshot file.
-func decodeSnapshot(body []byte) (index uint64, data []byte, err error) {
-	if rest, ok := bytes.CutPrefix(body, []byte(snapshotMagic)); ok && len(rest) >= 8 {
-		return binary.LittleEndian.Uint64(rest), rest[8:], nil
-	}
-	var old legacyBody
-	err = gob.NewDecoder(bytes.NewReader(body)).Decode(&old)
-	return old.Index, old.Data, err
-}
-
 func (d *Disk) loadSegments(saved *Saved) error {
 	paths, err := filepath.Glob(filepath.Join(d.dir, "*"+segmentSuffix))
 	if err != nil {
--- a/pkg/process/quorum/example_test.go
+++ b/pkg/process/quorum/example_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/plantainbank/plantainbank/pkg/process/quorum"
@@ -18,7 +19,7 @@
 		Send:         func([]quorum.Message) {},
 		Apply:        func(_ uint64, data []byte) any { return "applied " + string(data) },
 		Save:         func() []byte { return nil },
-		Restore:      func([]byte) error { return nil },
+		Restore:      func(io.Reader) error { return nil },
 		SaveSnapshot: func(quorum.Snapshot) error { return nil },
 	})
 	if err != nil {
--- a/pkg/process/quorum/message.go
+++ b/pkg/process/quorum/message.go
@@ -1,6 +1,10 @@
 package quorum
 
-import "fmt"
+import (
+	"bytes"
+	"fmt"
+	"io"
+)
 
 // NodeID is the storage number of a replica: random, drawn once for each data
 // folder. An emptied data folder gets a new one. Zero means "no replica".
@@ -41,7 +45,32 @@
 type Snapshot struct {
 	Index, Term uint64
 	Members     Members
-	Data        []byte
+	// Data is the state. It is empty in a description, and where Staged is set.
+	Data []byte
+	// Staged is the state in a file of this replica, in place of Data.
+	Staged *Staged `json:"-"`
+}
+
+// Staged is a state that lies in a file of this replica. Function fields are its
+// seams.
+type Staged struct {
+	// Open reads the state.
+	Open func() (io.ReadCloser, error)
+	// Adopt makes the file the replica's snapshot and returns once that is synced.
+	Adopt func() error
+	// Drop gives the file up: the replica does not need the state.
+	Drop func()
+}
+
+// Reader reads the state, nil if there is none.
+func (s *Snapshot) Reader() (io.ReadCloser, error) {
+	switch {
+	case s.Staged != nil:
+		return s.Staged.Open()
+	case len(s.Data) > 0:
+		return io.NopCloser(bytes.NewReader(s.Data)), nil
+	}
+	return nil, nil
 }
 
 // MessageKind names a message between replicas.
--- a/pkg/process/quorum/node.go
+++ b/pkg/process/quorum/node.go
@@ -24,13 +24,17 @@
 	// Save encodes the state machine.
 	Save func() []byte
 	// Restore replaces the state machine.
-	Restore func(data []byte) error
+	Restore func(r io.Reader) error
 	// SaveSnapshot stores a snapshot that replaces the log up to its index.
 	SaveSnapshot func(Snapshot) error
 	// Freeze returns what writes the state as it is now; another goroutine calls
 	// it while commands go on. It may be nil; then Save is used on the node's
 	// goroutine.
 	Freeze func() (write func(io.Writer) error)
+	// SendState sends a snapshot message whose data write writes, bit by bit, on
+	// another goroutine. It reports with StateSent. It may be nil; then the state
+	// goes as one message.
+	SendState func(m Message, write func(io.Writer) error)
 	// WriteSnapshot stores a frozen snapshot, whose data write writes. It runs on
 	// another goroutine than Persist. Trim then drops the log that it replaces.
 	WriteSnapshot func(s Snapshot, write func(io.Writer) error) error
@@ -108,12 +112,10 @@
 
 // NewNode returns a node; Run starts it.
 func NewNode(cfg Config) (*Node, error) {
-	if len(cfg.Persisted.Snapshot.Data) > 0 {
-		if err := cfg.Restore(cfg.Persisted.Snapshot.Data); err != nil {
-			return nil, err
-		}
-		cfg.Persisted.Snapshot.Data = nil
+	if err := restore(cfg, &cfg.Persisted.Snapshot); err != nil {
+		return nil, err
 	}
+	cfg.Persisted.Snapshot.Data, cfg.Persisted.Snapshot.Staged = nil, nil
 	if cfg.Suspended == nil {
 		cfg.Suspended = func() time.Duration { return 0 }
 	}
@@ -133,6 +135,16 @@
 	return n, nil
 }
 
+// restore replaces the state machine by what a snapshot holds.
+func restore(cfg Config, s *Snapshot) error {
+	r, err := s.Reader()
+	if r == nil || err != nil {
+		return err
+	}
+	defer r.Close()
+	return cfg.Restore(r)
+}
+
 // Run drives the node until ctx ends or the disk fails.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
@@ -147,7 +159,7 @@
 			n.noticeSuspension()
 			n.core.Tick(time.Now())
 		case m := <-n.inbox:
-			n.core.Step(m, time.Now())
+			n.step(m)
 			n.drainInbox()
 		case f := <-n.calls:
 			f()
@@ -181,11 +193,20 @@
 	return d > suspendedLeast || d < -suspendedLeast
 }
 
+// step takes in one message. A staged state that the core does not want is given
+// up.
+func (n *Node) step(m Message) {
+	n.core.Step(m, time.Now())
+	if m.Snapshot != nil && m.Snapshot.Staged != nil && n.core.snapDirty != m.Snapshot {
+		m.Snapshot.Staged.Drop()
+	}
+}
+
 func (n *Node) drainInbox() {
 	for range batchMost {
 		select {
 		case m := <-n.inbox:
-			n.core.Step(m, time.Now())
+			n.step(m)
 		default:
 			return
 		}
@@ -229,13 +250,12 @@
 	}
 	if r.Snapshot != nil {
 		n.saved = r.Snapshot.Index
-		if err := n.cfg.Restore(r.Snapshot.Data); err != nil {
+		if err := restore(n.cfg, r.Snapshot); err != nil {
 			return err
 		}
 	}
 	if len(r.Messages) > 0 {
-		n.fillSnapshots(r.Messages)
-		n.cfg.Send(r.Messages)
+		n.cfg.Send(n.fillSnapshots(r.Messages))
 	}
 	for _, e := range r.Committed {
 		n.apply(e)
@@ -243,18 +263,34 @@
 	return nil
 }
 
-// fillSnapshots puts the state into the messages that carry it. The state
-// machine has applied exactly what the core calls applied.
-func (n *Node) fillSnapshots(messages []Message) {
+// fillSnapshots puts the state into the messages that carry it, or sends these
+// bit by bit and returns the others. The state machine has applied exactly what
+// the core calls applied.
+func (n *Node) fillSnapshots(messages []Message) []Message {
+	out := messages[:0]
 	var data []byte
 	for _, m := range messages {
-		if m.Kind != MsgSnapshot || m.Snapshot == nil {
+		if m.Kind == MsgSnapshot && n.cfg.SendState != nil {
+			n.cfg.SendState(m, n.cfg.Freeze())
 			continue
 		}
-		if data == nil {
-			data = n.cfg.Save()
+		if m.Kind == MsgSnapshot {
+			if data == nil {
+				data = n.cfg.Save()
+			}
+			m.Snapshot.Data = data
 		}
-		m.Snapshot.Data = data
+		out = append(out, m)
+	}
+	return out
+}
+
+// StateSent tells that a piece of the state has reached a peer, so that the
+// state is not sent again meanwhile.
+func (n *Node) StateSent(to NodeID) {
+	select {
+	case n.calls <- func() { n.core.stateSent(to) }:
+	default: // the next piece tells the same
 	}
 }
 
@@ -379,6 +415,9 @@
 	select {
 	case n.inbox <- m:
 	default:
+		if m.Snapshot != nil && m.Snapshot.Staged != nil {
+			m.Snapshot.Staged.Drop()
+		}
 	}
 }
 
--- a/pkg/process/quorum/replicate.go
+++ b/pkg/process/quorum/replicate.go
@@ -85,6 +85,13 @@
 	return false
 }
 
+// stateSent notes that a part of the state has reached a peer.
+func (c *Core) stateSent(to NodeID) {
+	if p := c.peers[to]; c.role == Leader && p != nil && p.snapshotRound != 0 {
+		p.snapshotRound = c.round
+	}
+}
+
 func (c *Core) stepAppend(m Message, now time.Time) {
 	c.follow(m, now)
 	if m.LogIndex < c.commit {
--- /dev/null
+++ b/pkg/process/replica/cluster_test.go
@@ -0,0 +1,174 @@
+package replica
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/plantainbank/plantainbank/pkg/process/disk"
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+	"github.com/plantainbank/plantainbank/service/peer"
+)
+
+// faultyWrite fails while full is set.
+func faultyWrite(full *bool, write func(*os.File, []byte) (int, error)) func(*os.File, []byte) (int, error) {
+	return func(f *os.File, p []byte) (int, error) {
+		if *full {
+			return 0, syscall.ENOSPC
+		}
+		return write(f, p)
+	}
+}
+
+// await polls until ok holds.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+// replicaHost is a member of a cluster: an address that stays and a replica that
+// may be replaced.
+type replicaHost struct {
+	server  *httptest.Server
+	handler atomic.Pointer[http.Handler]
+	replica atomic.Pointer[Replica]
+	stop    func()
+	mu      sync.Mutex
+	state   []byte
+}
+
+// cluster is a group of replicas on loopback addresses, whose state is all that
+// was proposed.
+type cluster struct {
+	hosts []*replicaHost
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	c := &cluster{}
+	for range n {
+		h := &replicaHost{}
+		h.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*h.handler.Load()).ServeHTTP(w, r) }))
+		t.Cleanup(h.server.Close)
+		c.hosts = append(c.hosts, h)
+	}
+	var members quorum.Members
+	for _, h := range c.hosts {
+		c.open(t, h)
+		members = append(members, quorum.Member{ID: quorum.NodeID(h.replica.Load().Disk()), Addr: h.addr()})
+	}
+	if err := c.hosts[0].replica.Load().Found(t.Context(), members); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, h := range c.hosts {
+			h.stop()
+		}
+	})
+	return c
+}
+
+func (h *replicaHost) addr() string { return h.server.Listener.Addr().String() }
+
+// open starts a replica on an empty disk.
+func (c *cluster) open(t *testing.T, h *replicaHost) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h.mu.Lock()
+	h.state = nil
+	h.mu.Unlock()
+	r, err := New(Config{Dir: t.TempDir(), Self: h.addr(), Replicas: len(c.hosts), Files: disk.RealFiles(),
+		Timing: quorum.DefaultTiming(), Client: &http.Client{Transport: &http.Transport{}}, Log: logrus.NewEntry(log),
+		Apply: func(_ uint64, data []byte) any {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.state = append(h.state, data...)
+			return nil
+		},
+		Save:    func() []byte { return slices.Clone(h.state) },
+		Restore: h.restore,
+		Freeze: func() func(io.Writer) error {
+			now := slices.Clone(h.state)
+			return func(w io.Writer) error { _, err := w.Write(now); return err }
+		},
+		Changed: func(quorum.Status) {}, Hosts: c.list})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.replica.Store(r)
+	handler := http.Handler(peer.NewPeerServer(r.Service()))
+	h.handler.Store(&handler)
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.Run(ctx) }()
+	h.stop = func() {
+		cancel()
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+		r.Close()
+	}
+}
+
+func (h *replicaHost) restore(r io.Reader) error {
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state = data
+	return nil
+}
+
+// list names the hosts for the plan of the membership.
+func (c *cluster) list() []Host {
+	var out []Host
+	for _, h := range c.hosts {
+		out = append(out, Host{Name: h.addr(), Zone: h.addr(), Addr: h.addr(), Disk: h.replica.Load().Disk(), Heard: time.Now()})
+	}
+	return out
+}
+
+// propose commits data through whichever replica leads.
+func (c *cluster) propose(t *testing.T, data []byte) {
+	t.Helper()
+	await(t, "a leader commits", func() bool {
+		for _, h := range c.hosts {
+			if _, err := h.replica.Load().Node().Propose(t.Context(), data); err == nil {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// wipe replaces a replica by one with an empty disk at the same address.
+func (c *cluster) wipe(t *testing.T, i int) {
+	t.Helper()
+	h := c.hosts[i]
+	h.stop()
+	c.open(t, h)
+}
+
+func (c *cluster) held(i int) []byte {
+	h := c.hosts[i]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.state)
+}
--- a/pkg/process/replica/replica.go
+++ b/pkg/process/replica/replica.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/plantainbank/plantainbank/pkg/process/clock"
@@ -42,9 +43,9 @@
 	// Apply, Save and Restore are the state machine.
 	Apply   func(index uint64, data []byte) any
 	Save    func() []byte
-	Restore func(data []byte) error
-	// Freeze returns what writes the state as it is now, for another goroutine;
-	// nil means that Save is quick.
+	Restore func(r io.Reader) error
+	// Freeze returns what writes the state as it is now, for another goroutine.
+	// The state then moves bit by bit; nil means that it is small.
 	Freeze func() (write func(io.Writer) error)
 	// Changed runs on the replica's goroutine when its role changes.
 	Changed func(quorum.Status)
@@ -58,6 +59,8 @@
 	disk  *disk.Disk
 	node  *quorum.Node
 	peers *Transport
+	// state gathers the state that a leader sends.
+	state *receiver
 	empty bool
 }
 
@@ -77,6 +80,11 @@
 		cfg.Log.WithField("bytes", saved.CutBytes).Warn("removed an unfinished write from the end of the log")
 	}
 	r.empty = persisted.Hard.Term == 0 && len(persisted.Entries) == 0 && persisted.Snapshot.Index == 0
+	var sendState func(quorum.Message, func(io.Writer) error)
+	if cfg.Freeze != nil {
+		sendState = r.sendState
+	}
+	r.state = &receiver{disk: d, deliver: func(m quorum.Message) { r.node.Deliver(m) }}
 	r.node, err = quorum.NewNode(quorum.Config{
 		ID: quorum.NodeID(d.ID()), Timing: cfg.Timing, Seed: d.ID(), Persisted: persisted,
 		Persist:       func(x quorum.Ready) error { return Persist(d, x) },
@@ -86,6 +94,7 @@
 		Restore:       cfg.Restore,
 		SaveSnapshot:  func(s quorum.Snapshot) error { return SaveSnapshot(d, s) },
 		Freeze:        cfg.Freeze,
+		SendState:     sendState,
 		WriteSnapshot: func(s quorum.Snapshot, write func(io.Writer) error) error { return WriteSnapshot(d, s, write) },
 		Trim:          d.Trim,
 		SnapshotEvery: snapshotEvery,
@@ -204,6 +213,21 @@
 	return &peer.Empty{}, nil
 }
 
+// Install takes in a piece of the leader's state.
+func (s *service) Install(_ context.Context, p *peer.Piece) (*peer.Empty, error) {
+	if p.Message == nil {
+		return nil, twirp.RequiredArgumentError("message")
+	}
+	if p.Message.To != s.r.disk.ID() {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "for the data folder that was at this address before")
+	}
+	s.r.peers.Learn(quorum.NodeID(p.Message.From), p.Addr)
+	if err := s.r.state.take(p); err != nil {
+		return nil, twirp.NewError(twirp.Aborted, err.Error())
+	}
+	return &peer.Empty{}, nil
+}
+
 // Hello tells who answers at this address.
 func (s *service) Hello(context.Context, *peer.Empty) (*peer.Identity, error) {
 	return &peer.Identity{Id: s.r.disk.ID(), Empty: s.r.Empty(), Addr: s.r.cfg.Self}, nil
--- /dev/null
+++ b/pkg/process/replica/snapshot.go
@@ -0,0 +1,116 @@
+package replica
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"github.com/plantainbank/plantainbank/pkg/process/disk"
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+)
+
+// lengthBytes is the size of the length before a snapshot's description.
+const lengthBytes = 4
+
+// descriptionMost is the largest description of a snapshot in bytes.
+const descriptionMost = 1 << 20
+
+// takeSnapshot stores a snapshot that came from the leader.
+func takeSnapshot(d *disk.Disk, snap *quorum.Snapshot) error {
+	if snap.Staged != nil {
+		return snap.Staged.Adopt()
+	}
+	return SaveSnapshot(d, *snap)
+}
+
+// SaveSnapshot stores a snapshot: the length of its description, the
+// description in JSON, the state.
+func SaveSnapshot(d *disk.Disk, snap quorum.Snapshot) error {
+	head, err := snapshotHead(snap)
+	if err != nil {
+		return err
+	}
+	return d.SaveSnapshot(snap.Index, head, snap.Data)
+}
+
+// WriteSnapshot is SaveSnapshot for another goroutine: it leaves the log as it
+// is, and write writes the state bit by bit.
+func WriteSnapshot(d *disk.Disk, snap quorum.Snapshot, write func(io.Writer) error) error {
+	head, err := snapshotHead(snap)
+	if err != nil {
+		return err
+	}
+	return d.StreamSnapshot(snap.Index, func(w io.Writer) error {
+		if _, err := w.Write(head); err != nil {
+			return err
+		}
+		return write(w)
+	})
+}
+
+// snapshotHead encodes the description of a snapshot after its length.
+func snapshotHead(snap quorum.Snapshot) ([]byte, error) {
+	snap.Data, snap.Staged = nil, nil
+	meta, err := json.Marshal(snap)
+	return append(binary.LittleEndian.AppendUint32(nil, uint32(len(meta))), meta...), err
+}
+
+// describeSnapshot reads the description of a stored snapshot. Its state is read
+// when it is needed.
+func describeSnapshot(open func() (io.ReadCloser, error)) (snap quorum.Snapshot, err error) {
+	r, err := open()
+	if err != nil {
+		return snap, err
+	}
+	defer r.Close()
+	snap, _, err = readHead(bufio.NewReader(r))
+	if err == nil && snap.Data == nil {
+		snap.Staged = &quorum.Staged{Open: func() (io.ReadCloser, error) { return openState(open) }}
+	}
+	return snap, err
+}
+
+// openState opens the state behind the description of a snapshot.
+func openState(open func() (io.ReadCloser, error)) (io.ReadCloser, error) {
+	r, err := open()
+	if err != nil {
+		return nil, err
+	}
+	in := bufio.NewReader(r)
+	if _, _, err := readHead(in); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return &stateReader{in, r}, nil
+}
+
+// stateReader reads a state through a buffer.
+type stateReader struct {
+	io.Reader
+	io.Closer
+}
+
+// readHead reads the description of a snapshot. Snapshots of the first release
+// are one JSON object with the state in it.
+func readHead(in *bufio.Reader) (snap quorum.Snapshot, size int, err error) {
+	length, err := in.Peek(lengthBytes)
+	if err != nil {
+		return snap, 0, errors.New("the snapshot's description is cut")
+	}
+	size = int(binary.LittleEndian.Uint32(length))
+	if size > descriptionMost && length[0] == '{' {
+		err = json.NewDecoder(in).Decode(&snap)
+		return snap, 0, err
+	}
+	if size > descriptionMost {
+		return snap, 0, errors.New("the snapshot's description is too long")
+	}
+	meta := make([]byte, lengthBytes+size)
+	if _, err := io.ReadFull(in, meta); err != nil {
+		return snap, 0, errors.New("the snapshot's description is cut")
+	}
+	err = json.Unmarshal(meta[lengthBytes:], &snap)
+	return snap, size, err
+}
--- a/pkg/process/replica/wire.go
+++ b/pkg/process/replica/wire.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
-	"io"
 
 	"github.com/plantainbank/plantainbank/pkg/process/disk"
 	"github.com/plantainbank/plantainbank/pkg/process/quorum"
@@ -77,7 +76,7 @@
 		p.Hard = quorum.HardState{Term: h.Term, Vote: quorum.NodeID(h.Vote)}
 	}
 	if saved.Snapshot != nil {
-		snap, err := decodeSnapshot(saved.Snapshot)
+		snap, err := describeSnapshot(saved.Snapshot)
 		if err != nil {
 			return p, err
 		}
@@ -96,7 +95,7 @@
 // Persist writes what a Ready asks for and returns once it is synced.
 func Persist(d *disk.Disk, r quorum.Ready) error {
 	if r.Snapshot != nil {
-		if err := SaveSnapshot(d, *r.Snapshot); err != nil {
+		if err := takeSnapshot(d, r.Snapshot); err != nil {
 			return err
 		}
 	}
@@ -116,54 +115,3 @@
 	}
 	return d.Append(b)
 }
-
-// SaveSnapshot stores a snapshot: the length of its description, the
-// description in JSON, the state.
-func SaveSnapshot(d *disk.Disk, snap quorum.Snapshot) error {
-	parts, err := snapshotParts(snap)
-	if err != nil {
-		return err
-	}
-	return d.SaveSnapshot(snap.Index, parts...)
-}
-
-// WriteSnapshot is SaveSnapshot for another goroutine: it leaves the log as it
-// is, and write writes the state bit by bit.
-func WriteSnapshot(d *disk.Disk, snap quorum.Snapshot, write func(io.Writer) error) error {
-	parts, err := snapshotParts(snap)
-	if err != nil {
-		return err
-	}
-	return d.StreamSnapshot(snap.Index, func(w io.Writer) error {
-		for _, part := range parts {
-			if _, err := w.Write(part); err != nil {
-				return err
-			}
-		}
-		return write(w)
-	})
-}
-
-func snapshotParts(snap quorum.Snapshot) ([][]byte, error) {
-	data := snap.Data
-	snap.Data = nil
-	meta, err := json.Marshal(snap)
-	return [][]byte{binary.LittleEndian.AppendUint32(nil, uint32(len(meta))), meta, data}, err
-}
-
-// decodeSnapshot reads what SaveSnapshot stored. Snapshots of the first release
-// are a JSON object as a whole.
-func decodeSnapshot(p []byte) (snap quorum.Snapshot, err error) {
-	if len(p) > 0 && p[0] == '{' && json.Valid(p) {
-		err = json.Unmarshal(p, &snap)
-		return snap, err
-	}
-	const size = 4
-	if len(p) < size || uint64(len(p)-size) < uint64(binary.LittleEndian.Uint32(p)) {
-		return snap, errors.New("the snapshot's description is cut")
-	}
-	n := int(binary.LittleEndian.Uint32(p))
-	err = json.Unmarshal(p[size:size+n], &snap)
-	snap.Data = p[size+n:]
-	return snap, err
-}
