Load an engine when it can not serve the newest step any more

Cause: every version went to every engine.

Ruled out: too few slots (27% used); the order of items.

Change: an engine loads when it holds less than the version before the newest one, or than open steps allow (told by the store leader); half of the engines of a model always hold the newest. When versions pause for 8 s, the rest follows.

--- a/internal/process/director/duty.go
+++ b/internal/process/director/duty.go
@@ -124,7 +124,7 @@
 
 // orderWeights gives the orders that are due.
 func (s *Server) orderWeights(ctx context.Context, o *office, now time.Time) {
-	for _, order := range o.planner.Next(now, s.catalog.Public.Weights, o.roster.Live()) {
+	for _, order := range o.planner.Next(now, s.catalog.Public.Weights, o.least(now), o.roster.Live()) {
 		seq, known := o.accepted[start{order.Instance.ID, order.Instance.Born}]
 		x := WeightOrder{Order: order, Mark: s.mark(o), Seq: seq, Wait: s.single(order.Instance.Service)}
 		go s.order(ctx, o, x, known)
--- a/internal/process/director/office.go
+++ b/internal/process/director/office.go
@@ -129,6 +129,15 @@
 	return lead
 }
 
+// least returns the oldest versions that open steps allow, as the leader of the
+// store group tells.
+func (o *office) least(now time.Time) map[string]uint64 {
+	if lead := o.storeLead(now); lead != nil {
+		return lead.replica.Least
+	}
+	return nil
+}
+
 // voters returns the store hosts that hold the batches, all if that is not
 // known.
 func (o *office) voters(stores []*fleet.Host, now time.Time) []*fleet.Host {
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -256,6 +256,20 @@
 	}
 }
 
+// leastVersions returns the oldest weight versions that open batches allow, by
+// model: the highest of each model, since the older steps end first.
+func (d *driver) leastVersions() map[string]uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string]uint64{}
+	for _, w := range d.works {
+		if m := w.batch.Model; m != "" {
+			out[m] = max(out[m], w.batch.MinVersion)
+		}
+	}
+	return out
+}
+
 // giveUp lists an item as dead whose time or route is over.
 func (d *driver) giveUp(ctx context.Context, k pick.Key, w *work, now time.Time) bool {
 	b := w.batch
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -150,6 +150,7 @@
 		return
 	}
 	q.Replica.Whole = true
+	q.Replica.Least = s.driver.leastVersions()
 	for _, id := range st.Members.Voters() {
 		q.Replica.Voters = append(q.Replica.Voters, uint64(id))
 		if id != st.ID && st.Match[id] < st.Commit {
--- a/internal/process/weights/weights.go
+++ b/internal/process/weights/weights.go
@@ -1,14 +1,22 @@
 // Package weights decides which engine loads which weight version next. It
 // does no input or output.
 //
-// Load pattern: a trainer names a version every few seconds, and its next step
-// may run under that version and the one before. A load takes about a second,
-// and longer while many engines load at once. So few engines load at a time,
-// those that are furthest behind first, each straight to the newest version;
-// all others go on serving. Several trainers share the engines: if every engine
-// loaded the versions of all models, the loads of three trainers would take
-// three times what the engines can load. So each engine has a home, one model
-// whose versions it follows, spread evenly over models and availability zones.
+// Load pattern: a trainer names a version every few seconds and hands in its next
+// step at once, which may run under that version and the one before. A load takes
+// about a second, and longer while many engines load at once; it holds up what
+// runs at the engine. So few engines load at a time, each straight to the newest
+// version, and only those that can not serve the newest step any more: they have
+// nothing of their model to run. An engine that can serve it goes on, and loads
+// when the next version is named; so each serves two steps a load, and half of
+// the engines serve a new step at once. Where the versions pause, the others load
+// too.
+//
+// Weighed and left out: every engine to every version. On 48 engines three
+// trainers then ask for 12 loads a second where 10 can be made; a fifth of the
+// engines load all the time, and long items stand still for a load each.
+//
+// Several trainers share the engines: each engine has a home, one model whose
+// versions it follows, spread evenly over models and availability zones.
 package weights
 
 import (
@@ -34,6 +42,12 @@
 	// loadPart is the part of the engines that may load at once before loads
 	// get slower: 2 of 11, 10 of 48.
 	loadPart = 0.21
+	// lag is how many versions behind the newest one a step may run: that of
+	// trainers that name the next version while they collect a step.
+	lag = 1
+	// settleTime is how long after the latest version of a model the engines that
+	// can serve its newest step load it too: longer than a step takes.
+	settleTime = 8 * time.Second
 	// leastParallel is the number of engines that always may load at once.
 	leastParallel = 2
 )
@@ -70,6 +84,14 @@
 	flights map[string]*flight
 	// homes holds the model that an engine follows.
 	homes map[start]string
+	// newest holds the latest version of each model and when it was seen first.
+	newest map[string]seen
+}
+
+// seen is a version and when it was seen first.
+type seen struct {
+	version uint64
+	at      time.Time
 }
 
 // start names one start of an engine.
@@ -91,15 +113,19 @@
 }
 
 // New returns a planner without orders.
-func New() *Planner { return &Planner{flights: map[string]*flight{}, homes: map[start]string{}} }
+func New() *Planner {
+	return &Planner{flights: map[string]*flight{}, homes: map[start]string{}, newest: map[string]seen{}}
+}
 
-// Next returns the orders that are due now and counts them as given.
-func (p *Planner) Next(now time.Time, named map[string]uint64, engines []roster.Instance) []Order {
+// Next returns the orders that are due now and counts them as given. least holds
+// the oldest versions that open steps allow, by model.
+func (p *Planner) Next(now time.Time, named, least map[string]uint64, engines []roster.Instance) []Order {
 	p.settle(now, engines)
+	p.see(now, named)
 	free := max(leastParallel, int(loadPart*float64(loadable(engines)))) - p.loading(now)
 	var out []Order
 	p.settleHomes(named, engines)
-	for _, o := range p.behind(named, engines) {
+	for _, o := range p.behind(now, named, least, engines) {
 		if len(out) >= free {
 			break
 		}
@@ -113,16 +139,28 @@
 	return out
 }
 
+// see notes when the latest versions were named.
+func (p *Planner) see(now time.Time, named map[string]uint64) {
+	for model, v := range named {
+		if p.newest[model].version != v {
+			p.newest[model] = seen{v, now}
+		}
+	}
+}
+
 // behind lists what engines lack of the model that they follow, the ones that
 // are furthest behind first.
-func (p *Planner) behind(named map[string]uint64, engines []roster.Instance) []Order {
-	var out []Order
+func (p *Planner) behind(now time.Time, named, least map[string]uint64, engines []roster.Instance) []Order {
+	followers := map[string][]roster.Instance{}
 	for _, e := range engines {
-		if e.State != roster.Ready {
-			continue
-		}
 		model := p.homes[start{e.ID, e.Born}]
-		if held, ok := e.Weights[model]; ok && held < named[model] {
+		if _, ok := e.Weights[model]; ok && e.State == roster.Ready {
+			followers[model] = append(followers[model], e)
+		}
+	}
+	var out []Order
+	for model, all := range followers {
+		for _, e := range lacking(model, all, named[model], p.wanted(now, model, named[model], least[model])) {
 			out = append(out, Order{e, model, named[model]})
 		}
 	}
@@ -133,6 +171,35 @@
 	return out
 }
 
+// lacking returns the engines that should load the newest version of a model:
+// those below the version that is wanted, and as many others as make half of
+// the engines hold the newest one, so that the next version finds the other half
+// in time.
+func lacking(model string, followers []roster.Instance, named, wanted uint64) []roster.Instance {
+	slices.SortFunc(followers, func(a, b roster.Instance) int {
+		return cmp.Or(cmp.Compare(a.Weights[model], b.Weights[model]), cmp.Compare(a.ID, b.ID))
+	})
+	n := 0
+	for n < len(followers) && followers[n].Weights[model] < wanted {
+		n++
+	}
+	newest := 0
+	for _, e := range followers {
+		if e.Weights[model] >= named {
+			newest++
+		}
+	}
+	return followers[:min(len(followers)-newest, max(n, (len(followers)+1)/2-newest))]
+}
+
+// wanted returns the version below which an engine should load the newest one.
+func (p *Planner) wanted(now time.Time, model string, named, least uint64) uint64 {
+	if now.Sub(p.newest[model].at) >= settleTime {
+		return named
+	}
+	return min(named, max(least, named-min(named, lag)))
+}
+
 // loadable counts the engines that hold weights.
 func loadable(engines []roster.Instance) int {
 	n := 0
