Keep what runs have brought: move slow items, carry groups, save parts

Ruled out: full engines (27% used), the order of items, preemption.

Change: the pace of each run is told while it runs; a run at 1.8 times the typical pace goes on at a faster engine with a free slot, after its last event. Every 24 events a run's text goes to the log as a part. A batch that is handed in takes results and parts of the same items (same workspace, route, model and content) whose versions it allows. Time-outs of 1.2 s and 1.5 s. Loads wait for what runs. A run ends at once at an engine whose weights are too old.

--- /dev/null
+++ b/internal/connection/place/pace_test.go
@@ -0,0 +1,114 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/plantainbank/plantainbank/internal/process/roster"
+)
+
+// TestItemsLeaveSlowServers replays three of sixteen servers that turn four times
+// slower while long items run at them: the items go on at other servers, and none
+// of an even load moves.
+func TestItemsLeaveSlowServers(t *testing.T) {
+	const event = 47 * time.Millisecond
+	table := NewTable()
+	var all []roster.Instance
+	for i := range 16 {
+		all = append(all, roster.Instance{ID: fmt.Sprintf("e%02d", i), Service: "s", Addr: fmt.Sprint(i), Zone: "z", Slots: 8,
+			State: roster.Ready, Born: 1})
+	}
+	table.Update(all, nil, nil, 1)
+	now := time.Unix(1000, 0)
+	want := Want{Service: "s", Strict: true}
+	var slots []Slot
+	for range 48 {
+		slot, ok := table.Take(want, now)
+		if !ok {
+			t.Fatal("no place")
+		}
+		slots = append(slots, slot)
+	}
+	slow := func(id string) bool { return id < "e03" }
+	pace := func(id string) time.Duration {
+		if slow(id) {
+			return 4 * event
+		}
+		return event
+	}
+	for range 5 {
+		for _, x := range slots {
+			table.Pace(x, pace(x.ID))
+		}
+	}
+	for _, x := range slots {
+		if got := table.Better(x, want, pace(x.ID), now); got != slow(x.ID) {
+			t.Errorf("an item at %s that takes %v an event moves: %v", x.ID, pace(x.ID), got)
+		}
+	}
+	for range 9 {
+		if slot, ok := table.Take(want, now); !ok || slow(slot.ID) {
+			t.Fatalf("an item was placed at %q beside idle servers", slot.ID)
+		}
+	}
+}
+
+// TestNowhereBetter leaves an item where it is while the fast servers are full,
+// away or as slow.
+func TestNowhereBetter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	two := func(edit func(x *roster.Instance)) (*Table, Slot) {
+		table := NewTable()
+		fast := roster.Instance{ID: "fast", Service: "s", Addr: "f", Slots: 1, State: roster.Ready, Born: 1}
+		edit(&fast)
+		slow := roster.Instance{ID: "slow", Service: "s", Addr: "s", Slots: 8, State: roster.Ready, Born: 1}
+		third := roster.Instance{ID: "third", Service: "s", Addr: "t", Slots: 1, State: roster.Draining, Born: 1}
+		table.Update([]roster.Instance{fast, slow, third}, nil, nil, 1)
+		table.Pace(Slot{ID: "fast", Born: 1}, 50*time.Millisecond)
+		table.Pace(Slot{ID: "third", Born: 1}, 50*time.Millisecond)
+		table.Pace(Slot{ID: "slow", Born: 1}, 200*time.Millisecond)
+		return table, Slot{ID: "slow", Born: 1}
+	}
+	want := Want{Service: "s", Strict: true}
+	table, slot := two(func(*roster.Instance) {})
+	if !table.Better(slot, want, 200*time.Millisecond, now) {
+		t.Fatal("an idle fast server is not seen")
+	}
+	table.Take(want, now)
+	if table.Better(slot, want, 200*time.Millisecond, now) {
+		t.Fatal("an item would move to a full server")
+	}
+	table, slot = two(func(x *roster.Instance) { x.State = roster.Draining })
+	if table.Better(slot, want, 200*time.Millisecond, now) {
+		t.Fatal("an item would move to a server that leaves")
+	}
+}
+
+// TestVersionsThatAnswersName learns newer versions, and an older one only from
+// an answer that is sure.
+func TestVersionsThatAnswersName(t *testing.T) {
+	table := NewTable()
+	table.Update([]roster.Instance{{ID: "e", Service: "s", Slots: 8, State: roster.Ready, Born: 1, Weights: map[string]uint64{"m": 5}}}, nil, nil, 1)
+	now := time.Unix(1000, 0)
+	fits := func(least uint64) bool {
+		slot, ok := table.Take(Want{Service: "s", Model: "m", MinVersion: least}, now)
+		if ok {
+			table.Done(slot, Served, 0, now)
+		}
+		return ok
+	}
+	slot := Slot{ID: "e", Born: 1}
+	table.Learn(slot, "m", 6, false)
+	if !fits(6) {
+		t.Fatal("a newer version was not learnt")
+	}
+	table.Learn(slot, "m", 4, false)
+	if !fits(6) {
+		t.Fatal("an answer that crossed took a version back")
+	}
+	table.Learn(slot, "m", 4, true)
+	if fits(6) || !fits(4) {
+		t.Fatal("the engine's own word was not taken")
+	}
+}
--- a/internal/connection/place/table.go
+++ b/internal/connection/place/table.go
@@ -27,6 +27,10 @@
 	paceWeight = 0.25
 	// paceLeast and paceMost bound how much a pace counts against the others.
 	paceLeast, paceMost = 0.7, 8.0
+	// slowPace is the pace, in typical ones, from which a request is moved: slow
+	// servers take four times as long, full ones a sixth longer. fastPace is the
+	// slowest pace of a server that it is moved to.
+	slowPace, fastPace = 1.8, 1.3
 	// preferSlack is the cost that a preferred server may have above the best.
 	preferSlack = 2.0
 	// zoneCost is the cost of leaving the zone, and connectCost that of a new
@@ -170,6 +174,8 @@
 	Born     int64
 	// Taken is when the slot was taken.
 	Taken time.Time
+	// Running is the number of requests that this host has at the server.
+	Running int
 	// Cold tells that the server was cold.
 	Cold bool
 }
@@ -188,7 +194,7 @@
 	if cold {
 		s.credit--
 	}
-	return Slot{ID: s.ID, Addr: s.Addr, Born: s.Born, Taken: now, Cold: cold}, true
+	return Slot{ID: s.ID, Addr: s.Addr, Born: s.Born, Taken: now, Running: s.running, Cold: cold}, true
 }
 
 func (t *Table) choose(w Want, now time.Time) *server {
@@ -286,15 +292,44 @@
 	}
 }
 
-// Learn takes in a weight version that a server's answer named.
-func (t *Table) Learn(x Slot, model string, version uint64) {
+// Learn takes in a weight version that a server's answer named. Answers may cross,
+// so it only grows, unless the caller is sure that the server has an older one.
+func (t *Table) Learn(x Slot, model string, version uint64, sure bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.servers[x.ID]; s != nil && s.Born == x.Born && s.Weights[model] < version {
+	if s := t.servers[x.ID]; s != nil && s.Born == x.Born && (s.Weights[model] < version || sure) {
 		s.learn(model, version)
 	}
 }
 
+// Pace takes in the time for a unit of work that a request at a server takes
+// just now.
+func (t *Table) Pace(x Slot, pace time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[x.ID]; s != nil && s.Born == x.Born && pace > 0 {
+		s.addPace(pace)
+	}
+}
+
+// Better reports whether a request that takes pace for a unit of work at a server
+// should go on at another one: it takes far longer than is typical, and a server
+// that is as fast as the others has a free slot.
+func (t *Table) Better(x Slot, w Want, pace time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	typical := t.typicalPace(w.Service)
+	if typical == 0 || float64(pace) < slowPace*float64(typical) {
+		return false
+	}
+	for _, s := range t.servers {
+		if s.ID != x.ID && float64(s.pace) <= fastPace*float64(typical) && t.fits(s, w, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Done gives a slot back. pace is the time for a unit of work, zero if it is
 // not known.
 func (t *Table) Done(x Slot, o Outcome, pace time.Duration, now time.Time) {
--- a/internal/process/director/duty.go
+++ b/internal/process/director/duty.go
@@ -126,7 +126,7 @@
 func (s *Server) orderWeights(ctx context.Context, o *office, now time.Time) {
 	for _, order := range o.planner.Next(now, s.catalog.Public.Weights, o.least(now), o.roster.Live()) {
 		seq, known := o.accepted[start{order.Instance.ID, order.Instance.Born}]
-		x := WeightOrder{Order: order, Mark: s.mark(o), Seq: seq, Wait: s.single(order.Instance.Service)}
+		x := WeightOrder{Order: order, Mark: s.mark(o), Seq: seq, Wait: true}
 		go s.order(ctx, o, x, known)
 	}
 }
--- a/internal/process/store/batches.go
+++ b/internal/process/store/batches.go
@@ -33,13 +33,17 @@
 		return nil, twirp.InvalidArgumentError("id", "does not match the batch")
 	}
 	known := false
-	err = s.onLeader(ctx, func() { known = s.batches.Get(b.ID) != nil })
+	err = s.onLeader(ctx, func() {
+		if known = s.batches.Get(b.ID) != nil; !known {
+			s.batches.Carry(b)
+		}
+	})
 	if err == nil && !known {
 		b.Submitted = time.Now().UnixMilli()
 		err = s.proposeWithin(ctx, &batch.Command{Accept: b})
 	}
 	entry := s.log.WithFields(logrus.Fields{"batch": b.ID, "items": len(b.Items), "step": b.Step, "route": b.Route,
-		"min_version": b.MinVersion, "known": known})
+		"min_version": b.MinVersion, "known": known, "carried": len(b.Results)})
 	if err != nil {
 		entry.WithError(err).Warn("batch not accepted")
 		return nil, wireError(err)
--- /dev/null
+++ b/internal/process/store/carry.go
@@ -0,0 +1,165 @@
+package store
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/plantainbank/plantainbank/internal/request/batch"
+	"github.com/plantainbank/plantainbank/internal/request/itemrun"
+	"github.com/plantainbank/plantainbank/internal/request/pick"
+)
+
+const (
+	// checkpointEvents is the events after which what a run has brought is written
+	// to the log: about 1.1 s of work. Nine tenths of the items are shorter.
+	checkpointEvents = 24
+	// saveTimeout bounds that write; the next one covers the same events.
+	saveTimeout = 2 * time.Second
+	// keptLongest is how long what an item has brought is kept after its batch
+	// ended. A trainer hands in its next step, with the groups that were not whole,
+	// within the time of two steps.
+	keptLongest = 20 * time.Second
+)
+
+// mark tells how much of a progress stands in the log.
+type mark struct {
+	// events of the progress, and pieces of its data.
+	events, pieces int
+}
+
+// shelfKey names an item over the batches of a workspace.
+type shelfKey struct{ workspace, route, model, item string }
+
+// shelved is what runs of an item brought before its batch ended.
+type shelved struct {
+	progress itemrun.Progress
+	print    uint64
+	since    time.Time
+}
+
+// shelf holds what unfinished items of ended batches have brought.
+type shelf struct{ all map[shelfKey]shelved }
+
+func newShelf() *shelf { return &shelf{map[shelfKey]shelved{}} }
+
+func keyOf(b *batch.Batch, item string) shelfKey {
+	return shelfKey{b.Workspace, b.Route, b.Model, item}
+}
+
+// put keeps what an item has brought.
+func (s *shelf) put(w *work, now time.Time) {
+	if w.progress.Events > 0 {
+		s.all[keyOf(w.batch, w.item.ID)] = shelved{w.progress, w.item.Print, now}
+	}
+}
+
+// take returns what an item brought in an earlier batch, if the versions fit.
+func (s *shelf) take(b *batch.Batch, item *batch.Item) (itemrun.Progress, bool) {
+	x, ok := s.all[keyOf(b, item.ID)]
+	if !ok || x.print != item.Print || !b.Fits(x.progress.Versions) {
+		return itemrun.Progress{}, false
+	}
+	delete(s.all, keyOf(b, item.ID))
+	return x.progress, true
+}
+
+// tidy drops what nobody has asked for.
+func (s *shelf) tidy(now time.Time) {
+	for k, x := range s.all {
+		if now.Sub(x.since) > keptLongest {
+			delete(s.all, k)
+		}
+	}
+}
+
+func (d *driver) tidy(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.kept.tidy(now)
+}
+
+// newWork prepares an item, with what earlier runs of it have brought.
+func (d *driver) newWork(b *batch.Batch, item batch.Item) *work {
+	w := &work{batch: b, item: item}
+	if part := item.Part; part != nil && b.Fits(part.Versions) {
+		text, err := part.Text()
+		if err != nil {
+			d.s.log.WithError(err).WithFields(logrus.Fields{"batch": b.ID, "item": item.ID}).Error("a stored part is damaged")
+		} else {
+			w.progress = itemrun.Progress{Data: []string{text}, Events: part.Events, LastID: part.LastID, Versions: part.Versions}
+			w.saved = mark{part.Events, 1}
+		}
+	}
+	if p, ok := d.kept.take(b, &item); ok && p.Events > w.progress.Events {
+		w.progress, w.saved = p, mark{}
+	}
+	if w.progress.Events > 0 {
+		d.s.log.WithFields(logrus.Fields{"batch": b.ID, "item": item.ID, "events": w.progress.Events, "versions": w.progress.Versions}).
+			Info("item goes on from an earlier run")
+	}
+	return w
+}
+
+// endWork stops an item whose batch has ended and keeps what it has brought.
+func (d *driver) endWork(w *work) {
+	if w.running {
+		w.cancel(errEnded) // stopped keeps it
+		return
+	}
+	d.kept.put(w, time.Now())
+}
+
+// stopped gives the progress back to the driver after a run.
+func (d *driver) stopped(k pick.Key, w *work) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w.running = false
+	if d.works[k] != w && d.term != 0 {
+		d.kept.put(w, time.Now())
+	}
+}
+
+// checkpoint writes what a run has brought to the log from time to time, so that
+// a long item does not begin anew when another host takes over. It runs on the
+// run's goroutine and does not wait.
+func (d *driver) checkpoint(ctx context.Context, k pick.Key, w *work) {
+	if !w.saving.CompareAndSwap(false, true) {
+		return // the part before is on its way
+	}
+	if w.progress.Events-w.saved.events < checkpointEvents {
+		w.saving.Store(false)
+		return
+	}
+	p := &w.progress
+	text := strings.Join(p.Data[w.saved.pieces:], "\n")
+	next := mark{p.Events, len(p.Data)}
+	x := &batch.Save{Batch: k.Batch, Item: k.Item, From: w.saved.events,
+		Part: &batch.Part{Events: p.Events, LastID: p.LastID, Versions: slices.Clone(p.Versions)}}
+	go d.save(ctx, w, x, text, next, w.anew)
+}
+
+// save writes a part. Only then the next one follows.
+func (d *driver) save(ctx context.Context, w *work, x *batch.Save, text string, next mark, anew int) {
+	defer w.saving.Store(false)
+	chunk, err := batch.Pack(strings.ToValidUTF8(text, "\uFFFD"))
+	if err == nil {
+		x.Part.Chunks = [][]byte{chunk}
+		ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+		defer cancel()
+		err = d.s.propose(ctx, &batch.Command{Save: x})
+	}
+	if err != nil {
+		d.s.log.WithError(err).WithFields(logrus.Fields{"batch": x.Batch, "item": x.Item, "events": x.Part.Events}).
+			Info("part not saved yet")
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w.anew == anew {
+		w.saved = next
+	}
+}
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -44,12 +45,27 @@
 	batch *batch.Batch
 	item  batch.Item
 	// service is where it runs.
-	service  string
+	service string
+	// progress belongs to the run while running is true, else to the driver.
 	progress itemrun.Progress
-	// failures counts the engine's errors, runs all runs.
-	failures, runs int
-	avoid          map[string]bool
-	cancel         context.CancelCauseFunc
+	running  bool
+	// saved tells what of the progress stands in the log, and saving that a
+	// part is on its way there.
+	saved  mark
+	saving atomic.Bool
+	// anew counts how often the item began anew.
+	anew int
+	// failures counts the engine's errors, runs all runs, moves those that went on
+	// at a faster engine.
+	failures, runs, moves int
+	avoid                 map[string]bool
+	cancel                context.CancelCauseFunc
+}
+
+// reset drops what runs have brought.
+func (w *work) reset() {
+	w.progress, w.saved = itemrun.Progress{}, mark{}
+	w.anew++
 }
 
 // driver runs the items of open batches while this process leads.
@@ -69,6 +85,8 @@
 	works map[pick.Key]*work
 	// homes prefers a server for the items of a group.
 	homes map[string]string
+	// kept holds what runs of ended batches have brought.
+	kept  *shelf
 	state *feed.State
 	// term is the term that the works belong to, zero while not leading.
 	term uint64
@@ -93,7 +111,7 @@
 }
 
 func (d *driver) clear() {
-	d.queue, d.works, d.homes, d.term = pick.New(), map[pick.Key]*work{}, map[string]string{}, 0
+	d.queue, d.works, d.homes, d.kept, d.term = pick.New(), map[pick.Key]*work{}, map[string]string{}, newShelf(), 0
 }
 
 func (d *driver) poke() {
@@ -132,6 +150,7 @@
 		}
 		if time.Since(idle) > time.Second {
 			idle = time.Now()
+			d.tidy(idle)
 			d.s.cfg.Engines.CloseIdle()
 		}
 	}
@@ -221,12 +240,12 @@
 		if d.works[k] != nil {
 			continue
 		}
-		d.works[k] = &work{batch: e.batch, item: item}
+		d.works[k] = d.newWork(e.batch, item)
 		d.queue.Add(pick.Item{Key: k, Group: item.Group, Due: e.batch.DueTime(), Order: i})
 	}
 	for i, k := range e.ended {
-		if w := d.works[k]; w != nil && w.cancel != nil {
-			w.cancel(errEnded)
+		if w := d.works[k]; w != nil {
+			d.endWork(w)
 		}
 		delete(d.works, k)
 		d.queue.Done(k)
@@ -307,7 +326,7 @@
 	want := place.Want{Service: w.service, Model: w.batch.Model, MinVersion: w.batch.MinVersion, Prefer: d.homes[home],
 		Avoid: w.avoid, Strict: true}
 	if route.Single && len(w.progress.Versions) > 0 {
-		w.progress = itemrun.Progress{}
+		w.reset()
 	}
 	slot, ok := d.table.Take(want, now)
 	if !ok {
@@ -319,8 +338,11 @@
 	w.runs++
 	d.queue.Start(k)
 	runCtx, cancel := context.WithCancelCause(ctx)
-	w.cancel = cancel
-	go d.runItem(runCtx, ctx, k, w, slot)
+	w.cancel, w.running = cancel, true
+	d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "instance": slot.ID, "prefer": want.Prefer,
+		"running": slot.Running, "roster": d.state.Roster, "run": w.runs, "events": w.progress.Events}).Debug("run started")
+	want.Avoid = nil
+	go d.runItem(runCtx, ctx, k, w, slot, want)
 }
 
 // draw spreads the items of a batch over the weights of its route.
@@ -331,161 +353,3 @@
 	}
 	return float64(h) / (1 << 32)
 }
-
-// runItem runs an item once and decides what follows.
-func (d *driver) runItem(runCtx, ctx context.Context, k pick.Key, w *work, slot place.Slot) {
-	res := d.runner.Run(runCtx, slot, w.batch, w.item, &w.progress)
-	w.cancel(nil)
-	d.release(slot, w, res)
-	if res.End != itemrun.Whole && res.End != itemrun.Stopped {
-		d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "instance": slot.ID, "end": string(res.End),
-			"status": res.Status, "events": len(w.progress.Data), "runs": w.runs, "took_ms": res.Took.Milliseconds()}).
-			WithError(res.Err).Info("run ended early")
-	}
-	d.s.cfg.Scope.Tagged(map[string]string{"end": string(res.End)}).Counter("runs").Inc(1)
-	switch res.End {
-	case itemrun.Whole:
-		d.finish(ctx, k, w)
-	case itemrun.Hopeless:
-		d.list(ctx, k, w, batch.Result{Item: k.Item, State: batch.Dead}, "the engine can never run it")
-	case itemrun.Failed:
-		w.failures++
-		if d.exhausted(w) {
-			d.list(ctx, k, w, batch.Result{Item: k.Item, State: batch.Dead}, "all attempts failed")
-			return
-		}
-		d.again(k, w, slot, failPause)
-	case itemrun.Cut, itemrun.Unreached:
-		d.again(k, w, slot, 0)
-	case itemrun.NotRun, itemrun.Elsewhere:
-		d.again(k, w, slot, runPause)
-	}
-}
-
-// holds reports whether the driver still has the work: it forgets all of it
-// when another process leads.
-func (d *driver) holds(k pick.Key, w *work) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.works[k] == w
-}
-
-func (d *driver) exhausted(w *work) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.state.Table == nil {
-		return false
-	}
-	route := d.state.Table.Named(w.batch.Route)
-	return route != nil && w.failures >= max(1, route.Attempts)
-}
-
-// release tells the table how the run went.
-func (d *driver) release(slot place.Slot, w *work, res itemrun.Result) {
-	outcome := place.Served
-	var pace time.Duration
-	switch res.End {
-	case itemrun.Whole:
-		pace = res.Took / time.Duration(max(1, res.Events))
-	case itemrun.Failed, itemrun.Hopeless:
-		outcome = place.Failed
-	case itemrun.NotRun:
-		outcome = place.Loading
-	case itemrun.Elsewhere:
-		outcome = place.Misdirected
-	case itemrun.Cut:
-		outcome = place.Lost
-	case itemrun.Unreached:
-		outcome = place.Broken
-	case itemrun.Stopped:
-		outcome = place.Abandoned
-	}
-	if n := len(w.progress.Versions); n > 0 && res.Events > 0 && w.batch.Model != "" {
-		d.table.Learn(slot, w.batch.Model, w.progress.Versions[n-1])
-	}
-	d.table.Done(slot, outcome, pace, time.Now())
-	d.poke()
-}
-
-// finish lists a whole item, unless its versions do not fit its batch.
-func (d *driver) finish(ctx context.Context, k pick.Key, w *work) {
-	for _, v := range w.progress.Versions {
-		if v < w.batch.MinVersion {
-			d.restart(k, w, "an event is older than the batch allows")
-			return
-		}
-	}
-	if d.single(w) && len(w.progress.Versions) > 1 {
-		d.restart(k, w, "several versions produced it")
-		return
-	}
-	r := batch.Result{Item: k.Item, State: batch.Completed, Text: w.progress.Text(), Versions: w.progress.Versions}
-	if err := r.Pack(); err != nil {
-		d.s.log.WithError(err).WithField("item", k.Item).Warn("a text is stored as it is")
-	}
-	w.progress = itemrun.Progress{}
-	d.list(ctx, k, w, r, "")
-}
-
-func (d *driver) single(w *work) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.state.Table == nil {
-		return false
-	}
-	route := d.state.Table.Named(w.batch.Route)
-	return route != nil && route.Single
-}
-
-// restart runs an item from its beginning.
-func (d *driver) restart(k pick.Key, w *work, reason string) {
-	d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "versions": w.progress.Versions, "reason": reason}).
-		Info("item starts anew")
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	w.progress = itemrun.Progress{}
-	d.queue.Again(k, true, time.Now())
-	d.poke()
-}
-
-// again queues an item for another run, elsewhere if there is another server.
-func (d *driver) again(k pick.Key, w *work, slot place.Slot, pause time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	w.avoid = map[string]bool{slot.ID: true}
-	if d.homes[k.Batch+" "+w.item.Group] == slot.ID {
-		delete(d.homes, k.Batch+" "+w.item.Group)
-	}
-	d.queue.Again(k, len(w.progress.Data) > 0, time.Now().Add(pause))
-	d.poke()
-}
-
-// list commits a result. Until another process leads it is tried again, also
-// while this one has no lease for a moment: an item is listed once, whatever is
-// proposed, and nobody else would list it.
-func (d *driver) list(ctx context.Context, k pick.Key, w *work, r batch.Result, why string) {
-	for n := 0; ; n++ {
-		tryCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		err := d.s.propose(tryCtx, &batch.Command{List: &batch.List{Batch: k.Batch, Results: []batch.Result{r}}})
-		cancel()
-		if err == nil {
-			break
-		}
-		if n == 0 {
-			d.s.log.WithError(err).WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item}).Warn("result not listed yet")
-		}
-		if ctx.Err() != nil || !d.holds(k, w) {
-			return
-		}
-		time.Sleep(listPause)
-	}
-	if r.State == batch.Dead {
-		d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "runs": w.runs, "failures": w.failures, "reason": why}).
-			Warn("item is dead")
-	}
-	d.s.cfg.Scope.Tagged(map[string]string{"state": string(r.State)}).Counter("items").Inc(1)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.works, k)
-	d.queue.Done(k)
-}
--- /dev/null
+++ b/internal/process/store/pace.go
@@ -0,0 +1,57 @@
+package store
+
+import (
+	"errors"
+	"time"
+
+	"github.com/plantainbank/plantainbank/internal/connection/place"
+)
+
+const (
+	// paceEvents is the events after which the pace of a run is told, and the
+	// least after which the run may move: a quarter of a second of work.
+	paceEvents = 6
+	// paceWeight is the weight of one event in a run's moving average.
+	paceWeight = 0.3
+	// movesMost bounds how often an item moves away from slow engines.
+	movesMost = 4
+)
+
+// errSlow is the cause of runs that go on at a faster engine.
+var errSlow = errors.New("the engine is slow")
+
+// pacer watches how long the events of one run take. It belongs to the run's
+// goroutine.
+type pacer struct {
+	last   time.Time
+	mean   time.Duration
+	events int
+}
+
+// note takes in an event, and reports whether the mean is worth telling.
+func (p *pacer) note(now time.Time) bool {
+	p.events++
+	if p.events > 1 {
+		took := now.Sub(p.last)
+		if p.mean == 0 {
+			p.mean = took
+		}
+		p.mean += time.Duration(paceWeight * float64(took-p.mean))
+	}
+	p.last = now
+	return p.events%paceEvents == 0
+}
+
+// watchPace tells the table how fast a run is, and ends the run if it should go
+// on elsewhere. It runs after each event, on the run's goroutine.
+func (d *driver) watchPace(p *pacer, w *work, slot place.Slot, want place.Want) {
+	now := time.Now()
+	if !p.note(now) {
+		return
+	}
+	d.table.Pace(slot, p.mean)
+	if w.moves < movesMost && d.table.Better(slot, want, p.mean, now) {
+		w.moves++
+		w.cancel(errSlow)
+	}
+}
--- /dev/null
+++ b/internal/process/store/run.go
@@ -0,0 +1,185 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/plantainbank/plantainbank/internal/connection/place"
+	"github.com/plantainbank/plantainbank/internal/request/batch"
+	"github.com/plantainbank/plantainbank/internal/request/itemrun"
+	"github.com/plantainbank/plantainbank/internal/request/pick"
+)
+
+// runItem runs an item once and decides what follows.
+func (d *driver) runItem(runCtx, ctx context.Context, k pick.Key, w *work, slot place.Slot, want place.Want) {
+	p := &pacer{}
+	res := d.runner.Run(runCtx, slot, w.batch, w.item, &w.progress, func() {
+		d.checkpoint(ctx, k, w)
+		d.watchPace(p, w, slot, want)
+	})
+	w.cancel(nil)
+	d.release(slot, w, res)
+	d.stopped(k, w)
+	slow := errors.Is(res.Err, errSlow)
+	if res.End != itemrun.Whole && (res.End != itemrun.Stopped || slow) {
+		d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "instance": slot.ID, "end": string(res.End),
+			"status": res.Status, "events": w.progress.Events, "runs": w.runs, "took_ms": res.Took.Milliseconds()}).
+			WithError(res.Err).Info("run ended early")
+	}
+	d.s.cfg.Scope.Tagged(map[string]string{"end": string(res.End)}).Counter("runs").Inc(1)
+	d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "instance": slot.ID, "end": string(res.End), "events": res.Events,
+		"took_ms": res.Took.Milliseconds(), "first_ms": res.First.Milliseconds(), "pause_ms": res.Pause.Milliseconds()}).Debug("run ended")
+	switch res.End {
+	case itemrun.Whole:
+		d.finish(ctx, k, w)
+	case itemrun.Hopeless:
+		d.list(ctx, k, w, batch.Result{Item: k.Item, State: batch.Dead}, "the engine can never run it")
+	case itemrun.Failed:
+		w.failures++
+		if d.exhausted(w) {
+			d.list(ctx, k, w, batch.Result{Item: k.Item, State: batch.Dead}, "all attempts failed")
+			return
+		}
+		d.again(k, w, slot, failPause)
+	case itemrun.Cut, itemrun.Unreached:
+		d.again(k, w, slot, 0)
+	case itemrun.Stopped:
+		if slow {
+			d.again(k, w, slot, 0)
+		}
+	case itemrun.NotRun, itemrun.Elsewhere, itemrun.Stale:
+		d.again(k, w, slot, runPause)
+	}
+}
+
+// holds reports whether the driver still has the work: it forgets all of it
+// when another process leads.
+func (d *driver) holds(k pick.Key, w *work) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.works[k] == w
+}
+
+func (d *driver) exhausted(w *work) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.state.Table == nil {
+		return false
+	}
+	route := d.state.Table.Named(w.batch.Route)
+	return route != nil && w.failures >= max(1, route.Attempts)
+}
+
+// release tells the table how the run went.
+func (d *driver) release(slot place.Slot, w *work, res itemrun.Result) {
+	outcome := place.Served
+	var pace time.Duration
+	switch res.End {
+	case itemrun.Whole:
+		pace = res.Took / time.Duration(max(1, res.Events))
+	case itemrun.Failed, itemrun.Hopeless:
+		outcome = place.Failed
+	case itemrun.NotRun, itemrun.Stale:
+		outcome = place.Loading
+	case itemrun.Elsewhere:
+		outcome = place.Misdirected
+	case itemrun.Cut:
+		outcome = place.Lost
+	case itemrun.Unreached:
+		outcome = place.Broken
+	case itemrun.Stopped:
+		outcome = place.Abandoned
+	}
+	if res.Version > 0 && w.batch.Model != "" {
+		d.table.Learn(slot, w.batch.Model, res.Version, res.End == itemrun.Stale)
+	}
+	d.table.Done(slot, outcome, pace, time.Now())
+	d.poke()
+}
+
+// finish lists a whole item, unless its versions do not fit its batch.
+func (d *driver) finish(ctx context.Context, k pick.Key, w *work) {
+	for _, v := range w.progress.Versions {
+		if v < w.batch.MinVersion {
+			d.restart(k, w, "an event is older than the batch allows")
+			return
+		}
+	}
+	if d.single(w) && len(w.progress.Versions) > 1 {
+		d.restart(k, w, "several versions produced it")
+		return
+	}
+	r := batch.Result{Item: k.Item, State: batch.Completed, Text: w.progress.Text(), Versions: w.progress.Versions}
+	if err := r.Pack(); err != nil {
+		d.s.log.WithError(err).WithField("item", k.Item).Warn("a text is stored as it is")
+	}
+	d.list(ctx, k, w, r, "")
+}
+
+func (d *driver) single(w *work) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.state.Table == nil {
+		return false
+	}
+	route := d.state.Table.Named(w.batch.Route)
+	return route != nil && route.Single
+}
+
+// restart runs an item from its beginning.
+func (d *driver) restart(k pick.Key, w *work, reason string) {
+	d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "versions": w.progress.Versions, "reason": reason}).
+		Info("item starts anew")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w.reset()
+	d.queue.Again(k, true, time.Now())
+	d.poke()
+}
+
+// again queues an item for another run, elsewhere if there is another server.
+func (d *driver) again(k pick.Key, w *work, slot place.Slot, pause time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w.avoid = map[string]bool{slot.ID: true}
+	if d.homes[k.Batch+" "+w.item.Group] == slot.ID {
+		delete(d.homes, k.Batch+" "+w.item.Group)
+	}
+	d.queue.Again(k, w.progress.Events > 0, time.Now().Add(pause))
+	d.poke()
+}
+
+// list commits a result. Until another process leads it is tried again, also
+// while this one has no lease for a moment: an item is listed once, whatever is
+// proposed, and nobody else would list it.
+func (d *driver) list(ctx context.Context, k pick.Key, w *work, r batch.Result, why string) {
+	for n := 0; ; n++ {
+		tryCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		err := d.s.propose(tryCtx, &batch.Command{List: &batch.List{Batch: k.Batch, Results: []batch.Result{r}}})
+		cancel()
+		if err == nil {
+			break
+		}
+		if n == 0 {
+			d.s.log.WithError(err).WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item}).Warn("result not listed yet")
+		}
+		if ctx.Err() != nil || !d.holds(k, w) {
+			return
+		}
+		time.Sleep(listPause)
+	}
+	if r.State == batch.Dead {
+		d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "runs": w.runs, "failures": w.failures, "reason": why}).
+			Warn("item is dead")
+	}
+	d.s.cfg.Scope.Tagged(map[string]string{"state": string(r.State)}).Counter("items").Inc(1)
+	d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "state": string(r.State), "versions": r.Versions, "runs": w.runs}).
+		Debug("item listed")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.works, k)
+	d.queue.Done(k)
+}
--- a/internal/request/batch/batch.go
+++ b/internal/request/batch/batch.go
@@ -55,6 +55,11 @@
 	Tokens int `json:"tokens,omitempty"`
 	// Group names the items that are worth something only together.
 	Group string `json:"group,omitempty"`
+	// Print is a hash of what the item asks; it outlives the body.
+	Print uint64 `json:"print,omitempty"`
+	// Part is what runs have brought so far, nil if nothing. It never changes: a
+	// longer one replaces it.
+	Part *Part `json:"part,omitempty"`
 }
 
 // Result is how an item ended.
@@ -117,6 +122,7 @@
 	End string `json:"end,omitempty"`
 	// Drop names batches that need not be kept any more.
 	Drop []string `json:"drop,omitempty"`
+	Save *Save    `json:"save,omitempty"`
 }
 
 // List adds results to a batch.
@@ -178,6 +184,9 @@
 		return s.list(c.List), nil
 	case c.End != "":
 		return s.end(c.End), nil
+	case c.Save != nil:
+		s.save(c.Save)
+		return Effect{}, nil
 	}
 	for _, id := range c.Drop {
 		delete(s.all, id)
@@ -189,7 +198,13 @@
 	if s.all[b.ID] != nil {
 		return Effect{}
 	}
+	for i := range b.Items {
+		b.Items[i].Print = b.Items[i].print()
+	}
 	s.put(b)
+	for _, r := range b.Results {
+		b.forget(b.index[r.Item])
+	}
 	return Effect{Accepted: b}
 }
 
@@ -206,7 +221,7 @@
 		}
 		b.listed[r.Item] = true
 		b.Results = append(b.Results, r)
-		b.Items[i].Body, b.Items[i].Headers = nil, nil
+		b.forget(i)
 		e.Listed = b
 	}
 	return e
@@ -224,6 +239,11 @@
 	return Effect{Ended: b}
 }
 
+// forget drops what a listed item does not need any more.
+func (b *Batch) forget(i int) {
+	b.Items[i].Body, b.Items[i].Headers, b.Items[i].Part = nil, nil, nil
+}
+
 // Expired lists the batches that need not be kept: submitted longer ago than
 // keep, and ended or past the time in which their items may run.
 func (s *Store) Expired(now time.Time, keep time.Duration) []string {
--- a/internal/request/batch/form.go
+++ b/internal/request/batch/form.go
@@ -37,6 +37,9 @@
 // Encode returns the bytes of a command. Its names and texts must be UTF-8.
 func (c *Command) Encode() []byte {
 	w := &batchlog.Command{End: c.End, Drop: c.Drop}
+	if x := c.Save; x != nil {
+		w.Save = &batchlog.Save{Batch: x.Batch, Item: x.Item, From: int64(x.From), Part: x.Part.wire()}
+	}
 	if c.Accept != nil {
 		w.Accept = c.Accept.wire()
 	}
@@ -68,6 +71,9 @@
 	if w.Accept != nil {
 		c.Accept = fromWire(w.Accept)
 	}
+	if x := w.Save; x != nil {
+		c.Save = &Save{Batch: x.Batch, Item: x.Item, From: int(x.From), Part: partFromWire(x.Part)}
+	}
 	if w.List != nil {
 		c.List = &List{Batch: w.List.Batch, Results: resultsFromWire(w.List.Results)}
 	}
@@ -80,7 +86,7 @@
 		Results: resultsToWire(b.Results)}
 	for _, x := range b.Items {
 		w.Items = append(w.Items, &batchlog.Item{Id: x.ID, Path: x.Path, Headers: x.Headers, Body: x.Body,
-			Tokens: int64(x.Tokens), Group: x.Group})
+			Tokens: int64(x.Tokens), Group: x.Group, Print: x.Print, Part: x.Part.wire()})
 	}
 	return w
 }
@@ -90,7 +96,8 @@
 		Expiry: w.Expiry, Step: int(w.Step), Model: w.Model, MinVersion: w.Minversion, Target: int(w.Target), Ended: w.Ended,
 		Results: resultsFromWire(w.Results), Items: make([]Item, 0, len(w.Items))}
 	for _, x := range w.Items {
-		b.Items = append(b.Items, Item{ID: x.Id, Path: x.Path, Headers: x.Headers, Body: x.Body, Tokens: int(x.Tokens), Group: x.Group})
+		b.Items = append(b.Items, Item{ID: x.Id, Path: x.Path, Headers: x.Headers, Body: x.Body, Tokens: int(x.Tokens), Group: x.Group,
+			Print: x.Print, Part: partFromWire(x.Part)})
 	}
 	return b
 }
--- a/internal/request/batch/pack.go
+++ b/internal/request/batch/pack.go
@@ -12,30 +12,42 @@
 // packers keeps compressors, which take about a megabyte each.
 var packers sync.Pool
 
-// Pack replaces the text by its compressed form (RFC 1951) if that is shorter:
-// texts make up most of what the log, the disks and the memory hold. The fast
-// level costs the leader about 10 ms a megabyte.
-func (r *Result) Pack() error {
+// Pack returns a text in compressed form (RFC 1951): texts make up most of what
+// the log, the disks and the memory hold. The fast level costs the leader about
+// 10 ms a megabyte.
+func Pack(text string) ([]byte, error) {
 	var out bytes.Buffer
 	w, ok := packers.Get().(*flate.Writer)
 	if !ok {
 		var err error
 		if w, err = flate.NewWriter(&out, flate.BestSpeed); err != nil {
-			return err
+			return nil, err
 		}
 	}
 	defer packers.Put(w)
 	w.Reset(&out)
-	if _, err := io.WriteString(w, r.Text); err != nil {
-		return err
+	if _, err := io.WriteString(w, text); err != nil {
+		return nil, err
 	}
 	if err := w.Close(); err != nil {
-		return err
+		return nil, err
 	}
-	if out.Len() < len(r.Text) {
-		r.Packed, r.Text = bytes.Clone(out.Bytes()), ""
+	return bytes.Clone(out.Bytes()), nil
+}
+
+func unpack(data []byte) (string, error) {
+	var out strings.Builder
+	_, err := io.Copy(&out, flate.NewReader(bytes.NewReader(data)))
+	return out.String(), err
+}
+
+// Pack replaces the text by its compressed form if that is shorter.
+func (r *Result) Pack() error {
+	packed, err := Pack(r.Text)
+	if err == nil && len(packed) < len(r.Text) {
+		r.Packed, r.Text = packed, ""
 	}
-	return nil
+	return err
 }
 
 // FullText returns the text.
@@ -43,9 +55,9 @@
 	if r.Packed == nil {
 		return r.Text, nil
 	}
-	var out strings.Builder
-	if _, err := io.Copy(&out, flate.NewReader(bytes.NewReader(r.Packed))); err != nil {
+	text, err := unpack(r.Packed)
+	if err != nil {
 		return "", fmt.Errorf("the text of item %s can not be unpacked: %w", r.Item, err)
 	}
-	return out.String(), nil
+	return text, nil
 }
--- a/internal/request/itemrun/run.go
+++ b/internal/request/itemrun/run.go
@@ -22,13 +22,15 @@
 
 // Periods of a run.
 const (
-	// firstTimeout is the longest wait for the first byte: a load of weights
-	// takes 0.9 s, several at once longer, and other items may be first.
-	firstTimeout = 3 * time.Second
+	// firstTimeout is the longest wait for the first byte. A request that finds a
+	// slot begins within 0.1 s, at a slow engine within 0.5 s; a load of weights
+	// refuses it at once. A dark engine cost an item 3 s before, of the 7.5 s that
+	// its step has.
+	firstTimeout = 1200 * time.Millisecond
 	// gapTimeout is the longest time without a byte between two events. An
-	// event takes about 45 ms, on a slow engine 200 ms, and a load of weights
-	// may stand between two.
-	gapTimeout = 2 * time.Second
+	// event takes about 45 ms, on a slow engine 200 ms, and a load of weights,
+	// which takes 0.9 s, may stand between two.
+	gapTimeout = 1500 * time.Millisecond
 	// refusalMost is the largest refusal in bytes.
 	refusalMost = 64 << 10
 )
@@ -54,12 +56,17 @@
 	Unreached End = "unreached"
 	// Stopped runs were ended by this process.
 	Stopped End = "stopped"
+	// Stale means that the engine has older weights than the item allows.
+	Stale End = "stale"
 )
 
 // Progress is what the runs of an item have brought so far.
 type Progress struct {
-	// Data holds the data of the events in order.
+	// Data holds the data of the events in order; a piece may hold that of several
+	// events, joined by line feeds.
 	Data []string
+	// Events is their number.
+	Events int
 	// LastID is the number of the last event.
 	LastID string
 	// Versions are the weight versions that produced the events, in order.
@@ -74,6 +81,7 @@
 
 func (p *Progress) add(e event, version uint64) {
 	p.Data = append(p.Data, e.data)
+	p.Events++
 	p.LastID = e.id
 	if !slices.Contains(p.Versions, version) {
 		p.Versions = append(p.Versions, version)
@@ -88,7 +96,11 @@
 	Events int
 	// Took is the time from the first byte sent to the end.
 	Took time.Duration
-	Err  error
+	// First is the time to the first event, Pause the longest one between two.
+	First, Pause time.Duration
+	// Version is the latest weight version that the engine named, zero if none.
+	Version uint64
+	Err     error
 }
 
 // Runner runs items.
@@ -97,12 +109,24 @@
 	Headers dialect.Headers
 }
 
-// Run sends an item to a slot and adds what it brings to p.
-func (r *Runner) Run(ctx context.Context, slot place.Slot, b *batch.Batch, item batch.Item, p *Progress) Result {
+// Run sends an item to a slot and adds what it brings to p. added runs after each
+// event, on the caller's goroutine.
+func (r *Runner) Run(ctx context.Context, slot place.Slot, b *batch.Batch, item batch.Item, p *Progress, added func()) Result {
 	start := time.Now()
-	before := len(p.Data)
-	res := r.run(ctx, slot, b, item, p)
-	res.Events = len(p.Data) - before
+	before, last := p.Events, start
+	var first, pause time.Duration
+	res := r.run(ctx, slot, b, item, p, func() {
+		now := time.Now()
+		if first == 0 {
+			first = now.Sub(start)
+		} else {
+			pause = max(pause, now.Sub(last))
+		}
+		last = now
+		added()
+	})
+	res.First, res.Pause = first, pause
+	res.Events = p.Events - before
 	res.Took = time.Since(start)
 	if ctx.Err() != nil && res.End != Whole {
 		res.End, res.Err = Stopped, context.Cause(ctx)
@@ -110,7 +134,7 @@
 	return res
 }
 
-func (r *Runner) run(ctx context.Context, slot place.Slot, b *batch.Batch, item batch.Item, p *Progress) Result {
+func (r *Runner) run(ctx context.Context, slot place.Slot, b *batch.Batch, item batch.Item, p *Progress, added func()) Result {
 	req := r.request(slot, b, item, p)
 	a, err := r.Client.Do(ctx, slot.Addr, req, attempt.Options{Stream: true, StreamIf: isStream,
 		IdleTimeout: firstTimeout, BodyMost: refusalMost, Unframed: true})
@@ -124,12 +148,18 @@
 		a.Close(false)
 		return Result{End: Cut, Err: &attempt.CrossedError{Want: item.ID, Got: echo}}
 	}
-	err = r.read(a, p)
+	version, err := r.read(a, p, b.MinVersion, added)
 	a.Close(err == nil)
-	if err != nil {
-		return cut(err)
+	res := Result{End: Whole, Status: http.StatusOK}
+	var stale *staleError
+	switch {
+	case errors.As(err, &stale):
+		res = Result{End: Stale, Status: http.StatusOK, Err: err}
+	case err != nil:
+		res = cut(err)
 	}
-	return Result{End: Whole, Status: http.StatusOK}
+	res.Version = version
+	return res
 }
 
 // isStream leaves refusals to be read whole, so that their connection is used
@@ -173,26 +203,38 @@
 	return Result{End: Failed, Status: status, Err: err}
 }
 
-// read takes in the events of a stream.
-func (r *Runner) read(a *attempt.Answer, p *Progress) error {
+// staleError reports an engine whose weights are older than the item allows.
+type staleError struct{ version, least uint64 }
+
+func (e *staleError) Error() string {
+	return fmt.Sprintf("the engine has version %d, the item needs %d", e.version, e.least)
+}
+
+// read takes in the events of a stream and returns the version of the last one.
+// Weights that are too old end it before the first one.
+func (r *Runner) read(a *attempt.Answer, p *Progress, least uint64, added func()) (version uint64, err error) {
 	a.SetIdleTimeout(gapTimeout)
-	version, err := strconv.ParseUint(string(a.Response.Header.Peek(r.Headers.Versions)), 10, 64)
+	version, err = strconv.ParseUint(string(a.Response.Header.Peek(r.Headers.Versions)), 10, 64)
 	if err != nil {
-		return errors.New("the engine does not name its weight version")
+		return 0, errors.New("the engine does not name its weight version")
+	}
+	if version < least {
+		return version, &staleError{version, least}
 	}
 	events := newReader(bufio.NewReader(a.Body), r.Headers.Versions)
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return nil
+			return version, nil
 		}
 		if err != nil {
-			return err
+			return version, err
 		}
 		if e.version != 0 {
 			version = e.version
 		}
 		p.add(e, version)
+		added()
 	}
 }
 
--- a/internal/request/itemrun/run_test.go
+++ b/internal/request/itemrun/run_test.go
@@ -90,7 +90,7 @@
 func run(t *testing.T, addr string, p *Progress) Result {
 	t.Helper()
 	r := &Runner{Client: attempt.NewClient(), Headers: headers}
-	return r.Run(context.Background(), place.Slot{ID: "e", Addr: addr}, &batch.Batch{Host: "h"}, batch.Item{ID: "i", Path: "/x"}, p)
+	return r.Run(context.Background(), place.Slot{ID: "e", Addr: addr}, &batch.Batch{Host: "h"}, batch.Item{ID: "i", Path: "/x"}, p, func() {})
 }
 
 func TestEndsOfARun(t *testing.T) {
@@ -136,6 +136,19 @@
 	}
 }
 
+// TestOldWeightsEndARun asks an engine with version 3 for version 4: nothing of
+// its text is taken, and the runner tells the version.
+func TestOldWeightsEndARun(t *testing.T) {
+	addr, _ := engine(t, func(*http.Request) string { return chunked(3, false, "id: 1\ndata: a\n\n") })
+	p := &Progress{}
+	r := &Runner{Client: attempt.NewClient(), Headers: headers}
+	res := r.Run(context.Background(), place.Slot{ID: "e", Addr: addr}, &batch.Batch{Host: "h", MinVersion: 4},
+		batch.Item{ID: "i", Path: "/x"}, p, func() {})
+	if res.End != Stale || res.Version != 3 || p.Events != 0 {
+		t.Fatalf("got %+v, %d events", res, p.Events)
+	}
+}
+
 // TestGoesOnAfterTheLastWholeEvent cuts a stream at every byte; the next run
 // asks for what follows the last whole event, and nothing stands twice.
 func TestGoesOnAfterTheLastWholeEvent(t *testing.T) {
@@ -170,7 +183,7 @@
 	})
 	r := &Runner{Client: attempt.NewClient(), Headers: headers}
 	for range 5 {
-		r.Run(context.Background(), place.Slot{ID: "e", Addr: addr}, &batch.Batch{Host: "h"}, batch.Item{ID: "i", Path: "/x"}, &Progress{})
+		r.Run(context.Background(), place.Slot{ID: "e", Addr: addr}, &batch.Batch{Host: "h"}, batch.Item{ID: "i", Path: "/x"}, &Progress{}, func() {})
 	}
 	if n := conns.Load(); n != 1 {
 		t.Fatalf("%d connections for five refusals", n)
@@ -185,7 +198,7 @@
 	cause := errors.New("ended")
 	r := &Runner{Client: attempt.NewClient(), Headers: headers}
 	go cancel(cause)
-	res := r.Run(ctx, place.Slot{ID: "e", Addr: addr}, &batch.Batch{Host: "h"}, batch.Item{ID: "i", Path: "/x"}, &Progress{})
+	res := r.Run(ctx, place.Slot{ID: "e", Addr: addr}, &batch.Batch{Host: "h"}, batch.Item{ID: "i", Path: "/x"}, &Progress{}, func() {})
 	if res.End != Stopped || !errors.Is(res.Err, cause) {
 		t.Fatalf("got %+v", res)
 	}
