Tell the story of an id from the logs of many hosts

Cause: an id's lines lay in the logs of dozens of hosts, with times in whole seconds; the line that decided often names something else (the leader that changed, the instance that left).

Change: plantainbank why ID [--logs DIR]: the lines that name the id, what the hosts of the story and leaders came to believe meanwhile, and what became of the instances, in order of time.

--- a/cmd/plantainbank/cmds/cmds.go
+++ b/cmd/plantainbank/cmds/cmds.go
@@ -84,7 +84,7 @@
 	return []command{
 		controlCommand(), entryCommand(), siteCommand(), checkCommand(),
 		recordPutCommand(), recordGetCommand(), recordListCommand(), recordWithdrawCommand(), recordWaitCommand(),
-		keyNewCommand(), keyWithdrawCommand(), stepShowCommand(), statusCommand(),
+		keyNewCommand(), keyWithdrawCommand(), stepShowCommand(), statusCommand(), whyCommand(),
 		replicaListCommand(), replicaAddCommand(), replicaRemoveCommand(),
 		snapshotSaveCommand(), snapshotVerifyCommand(), certNewCommand(), docsCommand(), versionCommand(),
 	}
--- /dev/null
+++ b/cmd/plantainbank/cmds/why.go
@@ -0,0 +1,71 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/plantainbank/plantainbank/internal/process/history"
+)
+
+func whyCommand() command {
+	var id, dir string
+	return command{
+		path: "why",
+		help: "Tell the story of a request, batch, item or instance from logs.",
+		detail: "Reads the log lines of any number of processes, from the files of a folder or from standard input, and prints " +
+			"in the order of time the lines that name the id, with what the processes concerned came to believe meanwhile. " +
+			"Exits 1 if no line names it.",
+		args:    []argument{{"id", "The id of a request, batch, item, instance or the like.", &id}},
+		options: []option{{name: "logs", help: "A folder with log files; standard input if it is missing.", text: &dir}},
+		run:     func(env *env) error { return why(env, id, dir, os.Stdin) },
+	}
+}
+
+// why prints the story of an id.
+func why(env *env, id, dir string, in io.Reader) error {
+	var lines []history.Line
+	var bad int
+	var err error
+	if dir == "" {
+		lines, bad, err = history.Read(in)
+	} else {
+		lines, bad, err = readFolder(dir)
+	}
+	if err != nil {
+		return err
+	}
+	story := history.Story(lines, id)
+	if len(story) == 0 {
+		return fmt.Errorf("none of %d log lines names %q (%d lines could not be read)", len(lines), id, bad)
+	}
+	for i := range story {
+		fmt.Fprintln(env.out, story[i].String())
+	}
+	return nil
+}
+
+// readFolder reads all files of a folder.
+func readFolder(dir string) (lines []history.Line, bad int, err error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, e := range entries {
+		if !e.Type().IsRegular() {
+			continue
+		}
+		f, err := os.Open(filepath.Join(dir, e.Name()))
+		if err != nil {
+			return nil, 0, err
+		}
+		more, n, err := history.Read(f)
+		f.Close()
+		if err != nil {
+			return nil, 0, fmt.Errorf("%s: %w", f.Name(), err)
+		}
+		lines, bad = append(lines, more...), bad+n
+	}
+	return lines, bad, nil
+}
--- /dev/null
+++ b/internal/process/history/history_test.go
@@ -0,0 +1,70 @@
+package history
+
+import (
+	"strings"
+	"testing"
+)
+
+const sample = `
+  -3.1 core-1 {"host":"core-1","level":"info","msg":"role changed","role":"control","state":"leader","term":4,"time":"2026-03-01T10:00:01.500Z"}
+   0.2 edge-2 {"host":"edge-2","level":"info","msg":"roster changed","roster":7,"role":"entry","time":"2026-03-01T10:00:03.000Z"}
+ 0.3 edge-2 {"host":"edge-2","level":"warning","msg":"lost control, going on with what is known","role":"entry","time":"2026-03-01T10:00:03.100Z"}
+not a line of ours
+{"host":"edge-2","level":"info","msg":"attempt failed","request":"r1","instance":"i1","error":"connect","time":"2026-03-01T10:00:03.400Z"}
+{"host":"edge-9","level":"info","msg":"attempt failed","request":"r2","instance":"i1","error":"connect","time":"2026-03-01T10:00:03.410Z"}
+{"host":"core-1","level":"info","msg":"instance changed","instance":"i1","state":"gone","time":"2026-03-01T10:00:03.200Z"}
+{"host":"core-1","level":"info","msg":"instance changed","instance":"i2","state":"gone","time":"2026-03-01T10:00:03.200Z"}
+{"host":"edge-2","level":"info","msg":"request answered","request":"r1","status":503,"sent":0,"time":"2026-03-01T10:00:03.500Z"}
+{"host":"edge-2","level":"info","msg":"regained control","time":"2026-03-01T10:00:09.000Z"}
+`
+
+func TestStory(t *testing.T) {
+	lines, bad, err := Read(strings.NewReader(sample))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if bad != 2 || len(lines) != 9 {
+		t.Fatalf("%d lines, %d bad", len(lines), bad)
+	}
+	for _, c := range []struct {
+		name, id string
+		want     []string
+	}{
+		{"a request, with what was believed", "r1", []string{"role changed", "lost control, going on with what is known",
+			"instance changed", "attempt failed", "request answered"}},
+		{"an instance", "i2", []string{"role changed", "instance changed"}},
+		{"an unknown id", "r3", nil},
+		{"a part of an id", "r", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var got []string
+			for _, l := range Story(lines, c.id) {
+				got = append(got, l.Message)
+			}
+			if strings.Join(got, "|") != strings.Join(c.want, "|") {
+				t.Fatalf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+	story := Story(lines, "r1")
+	if got := story[len(story)-1].String(); got != `10:00:03.500 edge-2               request answered request="r1" sent=0 status=503` {
+		t.Fatalf("got %q", got)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(sample))
+	f.Add([]byte(`{"time":"2026-03-01T10:00:00Z","instance":7,"host":[]}`))
+	f.Add([]byte(`{"time":7}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		lines, _, err := Read(strings.NewReader(string(data)))
+		if err != nil {
+			return
+		}
+		for _, l := range Story(lines, "r1") {
+			if l.String() == "" {
+				t.Fatal("a line without text")
+			}
+		}
+	})
+}
