Wait for room on a full disk in place of ending

Ruled out: to go on without the write: nothing may be promised that is not synced.

Change: what a full disk took of a write is cut off, and the same write is tried again; to the others the replica is silent meanwhile.

--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -98,6 +98,7 @@
 		Apply:   s.apply,
 		Save:    func() []byte { return s.catalog.Save() },
 		Restore: s.restore,
+		Freeze:  s.freeze,
 		Changed: s.roleChanged,
 		Hosts:   s.controlHosts,
 	})
@@ -195,6 +196,15 @@
 	return changed
 }
 
+// freeze encodes the catalog, which is small, and writes it later.
+func (s *Server) freeze() func(io.Writer) error {
+	data := s.catalog.Save()
+	return func(w io.Writer) error {
+		_, err := w.Write(data)
+		return err
+	}
+}
+
 func (s *Server) restore(r io.Reader) error {
 	data, err := io.ReadAll(r)
 	if err != nil {
--- a/pkg/process/disk/disk.go
+++ b/pkg/process/disk/disk.go
@@ -10,6 +10,7 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -48,6 +49,14 @@
 
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
+// FullError reports a write that the disk had no room for. Nothing of it is left,
+// and it may be tried again.
+type FullError struct{ Cause error }
+
+func (e *FullError) Error() string { return "the disk is full: " + e.Cause.Error() }
+
+func (e *FullError) Unwrap() error { return e.Cause }
+
 // Names and sizes inside a data folder.
 const (
 	identityFile  = "identity"
@@ -143,8 +152,9 @@
 // ID returns the storage number of the folder. It is never zero.
 func (d *Disk) ID() uint64 { return d.id }
 
-// Append writes a batch and returns once it is synced. After an error every
-// later call returns a *BrokenError.
+// Append writes a batch and returns once it is synced. After a *FullError the
+// same batch may be written again; after any other error every later call
+// returns a *BrokenError.
 func (d *Disk) Append(b Batch) error {
 	if d.broken != nil {
 		return &BrokenError{Cause: d.broken}
@@ -161,9 +171,16 @@
 }
 
 func (d *Disk) write(b Batch) error {
-	var buf bytes.Buffer
-	if err := gob.NewEncoder(&buf).Encode(b); err != nil {
-		return Error.Wrap(err)
+	n, err := d.writeTo(d.segment, b)
+	if full(err) {
+		if cutErr := d.segment.Truncate(d.size); cutErr != nil {
+			return Error.Wrap(errs.Combine(err, cutErr))
+		}
+		return &FullError{Cause: err}
+	}
+	d.size += n
+	if err != nil {
+		return err
 	}
 	if len(b.Hard) > 0 {
 		d.hard = b.Hard
@@ -171,36 +188,58 @@
 	if len(b.Entries) > 0 {
 		d.last = max(d.last, b.First+uint64(len(b.Entries))-1)
 	}
-	p := frame(buf.Bytes())
-	n, err := d.files.Write(d.segment, p)
-	d.size += int64(n)
-	if err != nil {
-		return Error.Wrap(err)
-	}
 	return Error.Wrap(d.files.Sync(d.segment))
 }
 
+// writeTo writes the frame of a batch and returns its size.
+func (d *Disk) writeTo(f *os.File, b Batch) (int64, error) {
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(b); err != nil {
+		return 0, Error.Wrap(err)
+	}
+	n, err := d.files.Write(f, frame(buf.Bytes()))
+	return int64(n), Error.Wrap(err)
+}
+
+// fail remembers an error after which nothing can be promised.
 func (d *Disk) fail(err error) error {
-	d.broken = err
+	var full *FullError
+	if !errors.As(err, &full) {
+		d.broken = err
+	}
 	return err
 }
 
-// rotate starts a new segment whose first frame repeats the hard state.
+// full reports whether an error says that the disk has no room.
+func full(err error) bool { return errors.Is(err, syscall.ENOSPC) }
+
+// rotate starts a new segment whose first frame repeats the hard state. The former
+// one stays in use if the disk has no room for it.
 func (d *Disk) rotate() error {
-	if d.segment != nil {
-		d.closed = append(d.closed, closedSegment{d.segment.Name(), d.last})
-		d.segment.Close()
-	}
-	d.number++
-	path := filepath.Join(d.dir, fmt.Sprintf("%012d%s", d.number, segmentSuffix))
+	path := filepath.Join(d.dir, fmt.Sprintf("%012d%s", d.number+1, segmentSuffix))
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
+	if full(err) {
+		return &FullError{Cause: err}
+	}
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	d.segment, d.size = f, 0
-	if err := d.write(Batch{Hard: d.hard}); err != nil {
-		return err
+	size, err := d.writeTo(f, Batch{Hard: d.hard})
+	if full(err) {
+		if undone := errs.Combine(f.Close(), os.Remove(path)); undone != nil {
+			return Error.Wrap(errs.Combine(err, undone))
+		}
+		return &FullError{Cause: err}
+	}
+	if err := errs.Combine(err, d.files.Sync(f)); err != nil {
+		return Error.Wrap(errs.Combine(err, f.Close()))
+	}
+	if d.segment != nil {
+		d.closed = append(d.closed, closedSegment{d.segment.Name(), d.last})
+		d.segment.Close()
 	}
+	d.number++
+	d.segment, d.size = f, size
 	return d.syncDir()
 }
 
@@ -210,10 +249,11 @@
 	if d.broken != nil {
 		return &BrokenError{Cause: d.broken}
 	}
-	if err := d.rotate(); err != nil {
+	var full *FullError
+	if err := d.rotate(); err != nil && !errors.As(err, &full) {
 		return d.fail(err)
 	}
-	d.dropCovered(index)
+	d.dropCovered(index) // without a new segment the latest one goes later
 	return nil
 }
 
--- a/pkg/process/disk/snapshot.go
+++ b/pkg/process/disk/snapshot.go
@@ -68,6 +68,7 @@
 		return err
 	}
 	if err := errs.Combine(write(s), s.Close()); err != nil {
+		s.Drop()
 		return Error.Wrap(err)
 	}
 	return d.replaceSnapshot(s)
--- a/pkg/process/quorum/node.go
+++ b/pkg/process/quorum/node.go
@@ -39,6 +39,9 @@
 	// another goroutine than Persist. Trim then drops the log that it replaces.
 	WriteSnapshot func(s Snapshot, write func(io.Writer) error) error
 	Trim          func(index uint64) error
+	// SnapshotFailed hears of a frozen snapshot that could not be stored; it is
+	// tried again. It may be nil; then the failure stops the node.
+	SnapshotFailed func(error)
 	// SnapshotEvery is the number of applied entries between two snapshots.
 	SnapshotEvery uint64
 	// Suspended returns how long the machine has been suspended in all; nil
@@ -89,6 +92,8 @@
 	// carries its outcome.
 	freezing bool
 	written  chan frozen
+	// notBefore delays another snapshot after a failure.
+	notBefore time.Time
 	// suspended is what Config.Suspended told last.
 	suspended atomic.Int64
 }
@@ -105,6 +110,8 @@
 	callsSize  = 1024
 	batchMost  = 512
 	tickPeriod = 50 * time.Millisecond
+	// snapshotPause is the time until a snapshot that failed is tried again.
+	snapshotPause = 2 * time.Second
 	// suspendedLeast is the shortest suspension that ends a leadership; the
 	// election timeout exceeds the lease by more.
 	suspendedLeast = 100 * time.Millisecond
@@ -358,6 +365,11 @@
 // trim drops the log that a written snapshot replaces.
 func (n *Node) trim(x frozen) error {
 	n.freezing = false
+	if x.err != nil && n.cfg.SnapshotFailed != nil {
+		n.cfg.SnapshotFailed(x.err)
+		n.notBefore, n.bytes = time.Now().Add(snapshotPause), max(n.bytes, n.cfg.SnapshotBytes)
+		return nil
+	}
 	if x.err != nil {
 		return x.err
 	}
@@ -370,7 +382,7 @@
 }
 
 func (n *Node) snapshotDue() bool {
-	if n.core.applied <= n.saved {
+	if n.core.applied <= n.saved || time.Now().Before(n.notBefore) {
 		return false
 	}
 	many := n.cfg.SnapshotEvery > 0 && n.core.applied >= n.saved+n.cfg.SnapshotEvery
--- a/pkg/process/replica/replica.go
+++ b/pkg/process/replica/replica.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,6 +25,10 @@
 	planPeriod = 250 * time.Millisecond
 	// changeTimeout bounds one change of the membership.
 	changeTimeout = 2 * time.Second
+	// fullPause is the time between two tries to write to a full disk.
+	fullPause = 100 * time.Millisecond
+	// fullLongest is how long a process that starts waits for room.
+	fullLongest = 8 * time.Second
 	// snapshotEvery bounds the entries that a restart reads.
 	snapshotEvery = 20000
 	// snapshotBytes bounds the log on the disk and in memory.
@@ -62,11 +69,13 @@
 	// state gathers the state that a leader sends.
 	state *receiver
 	empty bool
+	// stopping is true once the process is to end.
+	stopping atomic.Bool
 }
 
 // New opens the data folder. Close releases it.
 func New(cfg Config) (*Replica, error) {
-	d, saved, err := disk.Open(cfg.Dir, cfg.Files)
+	d, saved, err := openDisk(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +96,7 @@
 	r.state = &receiver{disk: d, deliver: func(m quorum.Message) { r.node.Deliver(m) }}
 	r.node, err = quorum.NewNode(quorum.Config{
 		ID: quorum.NodeID(d.ID()), Timing: cfg.Timing, Seed: d.ID(), Persisted: persisted,
-		Persist:       func(x quorum.Ready) error { return Persist(d, x) },
+		Persist:       r.persist,
 		Send:          func(m []quorum.Message) { r.peers.Send(r.node.Status().Members, m) },
 		Apply:         cfg.Apply,
 		Save:          cfg.Save,
@@ -97,6 +106,9 @@
 		SendState:     sendState,
 		WriteSnapshot: func(s quorum.Snapshot, write func(io.Writer) error) error { return WriteSnapshot(d, s, write) },
 		Trim:          d.Trim,
+		SnapshotFailed: func(err error) {
+			cfg.Log.WithError(err).Warn("snapshot not stored, trying again later")
+		},
 		SnapshotEvery: snapshotEvery,
 		SnapshotBytes: snapshotBytes,
 		Suspended:     clock.Suspended,
@@ -109,6 +121,37 @@
 	return r, nil
 }
 
+// openDisk opens the data folder, and waits for a while if its disk is full: a
+// process that ended would find the same.
+func openDisk(cfg Config) (*disk.Disk, *disk.Saved, error) {
+	for end := time.Now().Add(fullLongest); ; time.Sleep(fullPause) {
+		d, saved, err := disk.Open(cfg.Dir, cfg.Files)
+		if !errors.Is(err, syscall.ENOSPC) || time.Now().After(end) {
+			return d, saved, err
+		}
+		cfg.Log.WithError(err).Warn("waiting for room on the disk")
+	}
+}
+
+// persist writes what a Ready asks for. While the disk is full it tries again:
+// to the others this replica is silent meanwhile, and another one leads.
+func (r *Replica) persist(x quorum.Ready) error {
+	for n := 0; ; n++ {
+		err := Persist(r.disk, x)
+		var full *disk.FullError
+		if !errors.As(err, &full) || r.stopping.Load() {
+			if n > 0 {
+				r.cfg.Log.WithField("tries", n+1).Info("the disk takes writes again")
+			}
+			return err
+		}
+		if n == 0 {
+			r.cfg.Log.WithError(err).Error("waiting for room on the disk")
+		}
+		time.Sleep(fullPause)
+	}
+}
+
 func (r *Replica) changed(st quorum.Status) {
 	r.cfg.Log.WithFields(logrus.Fields{"state": st.Role.String(), "term": st.Term, "leader": st.LeaderAddr,
 		"commit": st.Commit}).Info("role changed")
@@ -118,6 +161,7 @@
 // Run drives the replica until ctx ends or the disk fails.
 func (r *Replica) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
+	defer context.AfterFunc(ctx, func() { r.stopping.Store(true) })()
 	g.Go(func() error { return r.node.Run(ctx) })
 	g.Go(func() error { r.maintain(ctx); return nil })
 	return g.Wait()
