Give entry hosts the roster without weights

Cause: each load of weights changed the roster, which went as a whole (13 KB) to 83 hosts, two or three times a second, most of it over zones; entry hosts do not choose by weights.

Change: a second revision counts what is more than weights; entry hosts get the roster when that changes, without weights.

--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -40,15 +40,13 @@
 	Token uint64
 }
 
-// WeightOrder tells an engine to load weights.
+// WeightOrder tells an engine to load weights once the requests that run there
+// have ended.
 type WeightOrder struct {
 	weights.Order
 	Mark
 	// Seq is the number of orders that the engine must have accepted so far.
 	Seq uint64
-	// Wait lets running requests end first; otherwise they go on under the
-	// new version.
-	Wait bool
 }
 
 // Outside are the calls to backend servers and to the platform.
--- a/internal/process/director/duty.go
+++ b/internal/process/director/duty.go
@@ -126,27 +126,11 @@
 func (s *Server) orderWeights(ctx context.Context, o *office, now time.Time) {
 	for _, order := range o.planner.Next(now, s.catalog.Public.Weights, o.least(now), o.roster.Live()) {
 		seq, known := o.accepted[start{order.Instance.ID, order.Instance.Born}]
-		x := WeightOrder{Order: order, Mark: s.mark(o), Seq: seq, Wait: true}
+		x := WeightOrder{Order: order, Mark: s.mark(o), Seq: seq}
 		go s.order(ctx, o, x, known)
 	}
 }
 
-// single reports whether a route to a service allows one version in a result.
-func (s *Server) single(service string) bool {
-	cfg := s.catalog.Public.Config
-	if cfg == nil {
-		return false
-	}
-	for _, r := range cfg.Routes {
-		for _, t := range r.Targets {
-			if r.Single && t.Service == service {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // order gives one order. The number of accepted orders that it names keeps a
 // late order from being carried out after newer ones.
 func (s *Server) order(ctx context.Context, o *office, x WeightOrder, known bool) {
--- a/internal/process/director/office.go
+++ b/internal/process/director/office.go
@@ -7,6 +7,7 @@
 	"github.com/plantainbank/plantainbank/internal/process/roster"
 	"github.com/plantainbank/plantainbank/internal/process/weights"
 	"github.com/plantainbank/plantainbank/pkg/process/replica"
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
 	"github.com/plantainbank/plantainbank/service/fleet"
 )
 
@@ -129,6 +130,24 @@
 	return lead
 }
 
+// rosterFor returns the revision of the roster that hosts of a role should have.
+// Entry hosts do not choose by weights, which change several times a second; there
+// are many of them, and the roster goes as a whole.
+func (o *office) rosterFor(role string) uint64 {
+	if role == settings.RoleEntry {
+		return o.roster.Traffic
+	}
+	return o.roster.Revision
+}
+
+// instancesFor returns what hosts of a role should have.
+func (o *office) instancesFor(role string) []roster.Instance {
+	if role == settings.RoleEntry {
+		return o.roster.AllTraffic()
+	}
+	return o.roster.All()
+}
+
 // least returns the oldest versions that open steps allow, as the leader of the
 // store group tells.
 func (o *office) least(now time.Time) map[string]uint64 {
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -80,7 +80,7 @@
 // lacksRoster reports whether a host should get the roster. A host without any
 // gets what there is.
 func (s *Server) lacksRoster(o *office, q *fleet.Report, now time.Time) bool {
-	return q.Roster < o.roster.Revision && (q.Roster == 0 || s.rosterFit(o, now))
+	return q.Roster < o.rosterFor(q.Role) && (q.Roster == 0 || s.rosterFit(o, now))
 }
 
 // rosterFit reports whether the roster may replace the copies of hosts: a new
@@ -96,7 +96,7 @@
 		n.State = encode(s.catalog.Public)
 	}
 	if s.lacksRoster(o, q, now) {
-		n.Roster, n.Instances = o.roster.Revision, encode(o.roster.All())
+		n.Roster, n.Instances = o.rosterFor(q.Role), encode(o.instancesFor(q.Role))
 	}
 	n.Stores = hostsOf(o.live(settings.RoleStore, now))
 	if q.Role == settings.RoleEntry {
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -49,18 +50,11 @@
 	Cheap bool `json:"cheap,omitempty"`
 }
 
-// same reports whether hosts need not learn of b after a.
-func same(a, b *Instance) bool {
-	if a.Service != b.Service || a.Addr != b.Addr || a.State != b.State || a.Born != b.Born || a.Slots != b.Slots ||
-		len(a.Weights) != len(b.Weights) || a.Zone != b.Zone || a.Cheap != b.Cheap {
-		return false
-	}
-	for model, v := range a.Weights {
-		if b.Weights[model] != v {
-			return false
-		}
-	}
-	return coldChanged(a.ColdUntil, b.ColdUntil)
+// sameTraffic reports whether hosts that do not look at weights need not learn of b
+// after a.
+func sameTraffic(a, b *Instance) bool {
+	return a.Service == b.Service && a.Addr == b.Addr && a.State == b.State && a.Born == b.Born && a.Slots == b.Slots &&
+		a.Zone == b.Zone && a.Cheap == b.Cheap && coldChanged(a.ColdUntil, b.ColdUntil)
 }
 
 // coldSlack is how far two statements of the same cold end may differ.
@@ -70,8 +64,9 @@
 
 // Table holds the instances. It is not safe for concurrent use.
 type Table struct {
-	// Revision grows with every change that hosts must learn.
-	Revision uint64
+	// Revision grows with every change that hosts must learn. Traffic is the
+	// revision of the latest change of more than weights.
+	Revision, Traffic uint64
 	all      map[string]*entry
 }
 
@@ -81,7 +76,7 @@
 }
 
 // New returns an empty table whose revisions start above base.
-func New(base uint64) *Table { return &Table{Revision: base, all: map[string]*entry{}} }
+func New(base uint64) *Table { return &Table{Revision: base, Traffic: base, all: map[string]*entry{}} }
 
 // Announce takes in an announcement. It reports whether it was newer than
 // what is held.
@@ -91,13 +86,22 @@
 		return false
 	}
 	t.displace(x, now)
-	if held == nil || !same(&held.Instance, &x) {
+	switch {
+	case held == nil || !sameTraffic(&held.Instance, &x):
+		t.changed()
+	case !maps.Equal(held.Weights, x.Weights):
 		t.Revision++
 	}
 	t.all[x.ID] = &entry{x, now}
 	return true
 }
 
+// changed counts a change that all hosts must learn.
+func (t *Table) changed() {
+	t.Revision++
+	t.Traffic = t.Revision
+}
+
 // newer orders the announcements of one name.
 func newer(x, held *Instance) bool {
 	if x.Born != held.Born {
@@ -117,7 +121,7 @@
 	for id, e := range t.all {
 		if id != x.ID && e.Addr == x.Addr && e.State != Gone && e.Born < x.Born {
 			e.State, e.heard = Gone, now
-			t.Revision++
+			t.changed()
 		}
 	}
 }
@@ -134,7 +138,7 @@
 		return
 	}
 	held.State, held.heard = Gone, now
-	t.Revision++
+	t.changed()
 }
 
 // Expire drops the instances that have been silent for too long.
@@ -149,11 +153,20 @@
 		}
 		delete(t.all, id)
 		if e.State != Gone {
-			t.Revision++
+			t.changed()
 		}
 	}
 }
 
+// AllTraffic returns every instance without its weights, by name.
+func (t *Table) AllTraffic() []Instance {
+	out := t.All()
+	for i := range out {
+		out[i].Weights = nil
+	}
+	return out
+}
+
 // Heard returns when an instance was last heard from.
 func (t *Table) Heard(id string) time.Time {
 	if e := t.all[id]; e != nil {
@@ -186,7 +199,7 @@
 	for _, x := range all {
 		if held := t.all[x.ID]; held == nil || newer(&x, &held.Instance) {
 			t.all[x.ID] = &entry{x, now}
-			t.Revision++
+			t.changed()
 		}
 	}
 }
--- a/internal/process/roster/roster_test.go
+++ b/internal/process/roster/roster_test.go
@@ -80,3 +80,37 @@
 		t.Fatal("a silent instance is still listed")
 	}
 }
+
+// TestWeightsAreNoTraffic changes weights, state and silence: hosts that do not
+// look at weights need to learn of the latter two only, without the weights.
+func TestWeightsAreNoTraffic(t *testing.T) {
+	table := New(7)
+	engine := func(seq, version uint64, s State) Instance {
+		x := at("i", "a", 1, seq, s)
+		x.Weights = map[string]uint64{"m": version}
+		return x
+	}
+	steps := []struct {
+		name              string
+		do                func()
+		revision, traffic bool
+	}{
+		{"appears", func() { table.Announce(engine(1, 1, Ready), start) }, true, true},
+		{"repeats itself", func() { table.Announce(engine(2, 1, Ready), start) }, false, false},
+		{"loads a version", func() { table.Announce(engine(3, 2, Ready), start) }, true, false},
+		{"drains with a new version", func() { table.Announce(engine(4, 3, Draining), start) }, true, true},
+		{"is silent", func() { table.Expire(start.Add(silentLongest + time.Second)) }, true, true},
+	}
+	for _, x := range steps {
+		revision, traffic := table.Revision, table.Traffic
+		x.do()
+		if (table.Revision > revision) != x.revision || (table.Traffic > traffic) != x.traffic {
+			t.Errorf("%s: revision %d to %d, traffic %d to %d", x.name, revision, table.Revision, traffic, table.Traffic)
+		}
+		for _, i := range table.AllTraffic() {
+			if i.Weights != nil {
+				t.Errorf("%s: %v", x.name, i.Weights)
+			}
+		}
+	}
+}
