Cut no connection that was opened before a listener closed

Cause of the known red TestGracefulShutdownCutsNothing: the kernel resets the connections that were opened but not accepted when a listener closes, with the request that was written to them.

Ruled out: to accept what waits and close then (a first try in this commit's test: still cut, in the time between the two).

Change: socket.Listener.Close lets the kernel drop the first packets of new connections (a BPF filter), waits 20 ms for those under way, accepts what waits, hands it out and closes; callers that come later are refused. Go's listeners are multipath TCP since 1.24, which takes no filter: off for these.

--- a/pkg/connection/socket/socket.go
+++ b/pkg/connection/socket/socket.go
@@ -86,18 +86,3 @@
 	}
 	return b.Conn.Write(p)
 }
-
-// Listener bounds the writes of every connection that it accepts.
-type Listener struct {
-	net.Listener
-	Limit time.Duration
-}
-
-// Accept returns the next connection.
-func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &Bounded{Conn: c, Limit: l.Limit}, nil
-}
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -186,14 +186,14 @@
 		handler fasthttp.RequestHandler
 		tls     *tls.Config
 	}{{s.cfg.Callers, s.callers.Serve, callerTLS}, {s.cfg.Operators, s.operators.Serve, callerTLS}, {s.cfg.Backends, s.backends.Serve, nil}} {
-		lis, err := net.Listen("tcp", x.addr)
+		tcp, err := socket.Listen(context.Background(), x.addr, time.Duration(s.cfg.Limits.Write))
 		if err != nil {
 			for _, l := range out {
 				l.lis.Close()
 			}
 			return nil, err
 		}
-		lis = &socket.Listener{Listener: lis, Limit: time.Duration(s.cfg.Limits.Write)}
+		var lis net.Listener = tcp
 		if x.tls != nil {
 			lis = tls.NewListener(lis, x.tls)
 		}
