--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Forwards to the scripts; there is no logic here.
-.PHONY: build run test measure generate docs
+.PHONY: build run test soak measure generate docs
 
 build:
 	@_scripts/build
@@ -10,6 +10,9 @@
 test: build
 	@_scripts/test
 
+soak:
+	@go test ./platform -run TestSoak -timeout 60m -soak.seeds $(or $(SEEDS),50) -soak.first $(or $(FIRST),1)
+
 measure: build
 	@go run ./_scripts/measure/main.go
 
