Serve by what the disks hold until a leader is elected

Ruled out: shorter elections (0.5 to 0.8 s already); serving what the log holds beyond its commit: it may never be in force.

Change: the commit index is persisted with the next entries, or half a second later, and a replica that starts applies up to it. In its first 3 s, while it knows no leader, a control process tells hosts that know nothing what it found; they serve by that and go on looking for the leader.

--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -83,13 +83,15 @@
 	feed    *feed.Feed
 	catalog *catalog.Catalog
 	office  *office
+	// started is when the process began.
+	started time.Time
 	// changed is closed and replaced whenever waiting calls should look again.
 	changed chan struct{}
 }
 
 // New opens the data folder. Close releases it.
 func New(cfg Config) (*Server, error) {
-	s := &Server{cfg: cfg, log: cfg.Log, catalog: catalog.New(), changed: make(chan struct{})}
+	s := &Server{cfg: cfg, log: cfg.Log, catalog: catalog.New(), started: time.Now(), changed: make(chan struct{})}
 	r, err := replica.New(replica.Config{
 		Dir: cfg.Site.Data, Self: cfg.Site.Internal(), Replicas: cfg.Site.Replicas(), Files: cfg.Files, Timing: cfg.Timing,
 		Client: cfg.Client, Log: cfg.Log,
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/twitchtv/twirp"
 
 	"github.com/plantainbank/plantainbank/pkg/process/quorum"
@@ -19,6 +21,14 @@
 	foundPeriod = 100 * time.Millisecond
 	// helloTimeout bounds a question to another control process.
 	helloTimeout = 500 * time.Millisecond
+	// provisionalTime is how long after its start a process tells what its disk
+	// holds: elections take up to 1 s, and a host that asks has started as well.
+	provisionalTime = 3 * time.Second
+	// provisionalRoster is below the revisions of every leader.
+	provisionalRoster = 1
+	// provisionalEntries is the number of entry hosts while nobody knows it: cold
+	// servers get next to nothing. It is that of the largest site.
+	provisionalEntries = 390
 )
 
 // Watch takes in a report and answers with what the host lacks.
@@ -44,6 +54,12 @@
 			changed = s.changed
 			return nil
 		})
+		var not *NotLeaderError
+		if errors.As(err, &not) {
+			if news = s.provisional(ctx, q); news != nil {
+				return news, nil
+			}
+		}
 		if err != nil || news != nil {
 			return news, wireError(err)
 		}
@@ -57,6 +73,35 @@
 	}
 }
 
+// provisional returns what this process found on its disk, for a host that knows
+// nothing: after a restart of all processes, callers would wait for an election
+// for what every disk holds. It is nil if there may be a leader, or once this
+// process has run for longer than an election takes.
+func (s *Server) provisional(ctx context.Context, q *fleet.Report) *fleet.News {
+	if q.Catalog > 0 || q.Role == settings.RoleControl || time.Since(s.started) > provisionalTime {
+		return nil
+	}
+	var n *fleet.News
+	err := s.do(ctx, func() {
+		if s.catalog.Public.Config == nil || s.replica.Node().Status().Leader != 0 {
+			return
+		}
+		n = &fleet.News{Catalog: s.catalog.Revision, State: encode(s.catalog.Public), Provisional: true, Entries: provisionalEntries}
+		if len(s.catalog.Instances) > 0 {
+			n.Roster, n.Instances = provisionalRoster, encode(s.catalog.Instances)
+		}
+	})
+	if err != nil {
+		s.log.WithError(err).Warn("could not tell what the disk holds")
+		return nil
+	}
+	if n != nil {
+		s.log.WithFields(logrus.Fields{"to": q.Host.Name, "catalog": n.Catalog, "instances": len(s.catalog.Instances)}).
+			Info("told what the disk holds")
+	}
+	return n
+}
+
 // takeReport stores a report; a change of the store group is news for all.
 func (s *Server) takeReport(o *office, q *fleet.Report, now time.Time) {
 	before := leadAddr(o, now)
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -40,6 +40,9 @@
 // LeaderMeta is the error detail that holds the leader's address.
 const LeaderMeta = "leader"
 
+// errProvisional follows news that do not come from a leader.
+var errProvisional = errors.New("no leader is known yet")
+
 var errUnknown = errors.New("no control process is known")
 
 // State is an immutable copy of what control decided.
@@ -144,7 +147,7 @@
 		f.regained(addr)
 		return
 	}
-	if f.takeHurried() || f.failed(ctx, addr, err) {
+	if !errors.Is(err, errProvisional) && (f.takeHurried() || f.failed(ctx, addr, err)) {
 		return
 	}
 	select {
@@ -253,14 +256,20 @@
 	if err != nil {
 		return err
 	}
-	return f.take(n)
+	if err := f.take(n); err != nil || !n.Provisional {
+		return err
+	}
+	return errProvisional
 }
 
 // take puts news in force.
 func (f *Feed) take(n *fleet.News) error {
 	old := f.State()
 	s := *old
-	s.Term, s.Stores, s.Entries, s.Heard = n.Term, n.Stores, int(n.Entries), time.Now()
+	s.Term, s.Stores, s.Entries = n.Term, n.Stores, int(n.Entries)
+	if !n.Provisional {
+		s.Heard = time.Now()
+	}
 	if n.Lead != "" {
 		s.Lead = n.Lead
 	}
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -149,3 +149,25 @@
 	f.Reseed([]string{addr})
 	until(t, "the configuration", func() bool { return f.State().Table != nil })
 }
+
+// TestProvisionalNews learns from a process that does not lead what its disk
+// holds: the host serves by that, and goes on looking for a leader, whose news
+// replace it.
+func TestProvisionalNews(t *testing.T) {
+	a, addrA := serve(t)
+	b, addrB := serve(t)
+	a.set(func(x *control) {
+		x.news = news(5, 3)
+		x.news.Provisional, x.news.Roster, x.news.Lead = true, 1, ""
+	})
+	f := start(t, addrA, addrB)
+	until(t, "the configuration of the disk", func() bool { return f.State().Table != nil && f.State().Table.Config.Version == 3 })
+	before := b.asked()
+	until(t, "more questions", func() bool { return b.asked() > before+2 })
+	if s := f.State(); !s.Heard.IsZero() || s.Roster != 1 {
+		t.Fatalf("provisional news count as a leader's: %+v", s)
+	}
+	leader := news(9, 8)
+	b.set(func(x *control) { x.news = leader })
+	until(t, "the leader's news", func() bool { s := f.State(); return s.Table.Config.Version == 8 && s.Roster == 9 && s.Lead == "store" })
+}
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -67,7 +67,7 @@
 	// Revision grows with every change that hosts must learn. Traffic is the
 	// revision of the latest change of more than weights.
 	Revision, Traffic uint64
-	all      map[string]*entry
+	all               map[string]*entry
 }
 
 type entry struct {
--- a/pkg/process/quorum/core.go
+++ b/pkg/process/quorum/core.go
@@ -56,6 +56,9 @@
 	// snapshotRounds is the heartbeat rounds for which a snapshot may be under
 	// way before it is sent again: 2 s with a heartbeat of 100 ms.
 	snapshotRounds = 20
+	// commitPause is how long the commit index may be ahead of the disk: entries
+	// that follow within it carry the index without a sync of its own.
+	commitPause = 500 * time.Millisecond
 	// jitterPercent spreads the election timeouts: far more than the way of a
 	// vote, so that two candidates seldom meet.
 	jitterPercent = 60
@@ -95,10 +98,14 @@
 	// termStart is the index of the no-op that opened this leader's term.
 	termStart uint64
 
-	hardDirty  bool
-	persistLow uint64 // lowest index to persist, or zero
-	snapDirty  *Snapshot
-	out        []Message
+	hardDirty bool
+	// savedCommit is the commit index that was persisted last, commitDue when a
+	// newer one is persisted without entries.
+	savedCommit uint64
+	commitDue   time.Time
+	persistLow  uint64 // lowest index to persist, or zero
+	snapDirty   *Snapshot
+	out         []Message
 }
 
 // Persisted is the state that a replica finds on its disk.
@@ -117,8 +124,9 @@
 		log: newLog(p.Snapshot, p.Entries),
 	}
 	c.stable = c.log.lastIndex()
-	c.commit = p.Snapshot.Index
+	c.commit = max(p.Snapshot.Index, min(p.Hard.Commit, c.log.lastIndex()))
 	c.applied = p.Snapshot.Index
+	c.savedCommit = c.commit
 	c.leaderHeard = now
 	c.resetElection(now)
 	return c
@@ -146,8 +154,10 @@
 // Advance with the same value.
 func (c *Core) Ready() Ready {
 	var r Ready
-	if c.hardDirty {
+	if c.hardDirty || c.persistLow != 0 {
 		h := c.hard
+		h.Commit = c.commit
+		c.savedCommit = c.commit
 		r.Hard = &h
 		c.hardDirty = false
 	}
@@ -209,6 +219,7 @@
 
 // Tick lets time pass up to now.
 func (c *Core) Tick(now time.Time) {
+	c.tickCommit(now)
 	if c.role == Leader {
 		c.tickLeader(now)
 		return
@@ -222,6 +233,20 @@
 	}
 }
 
+// tickCommit persists the commit index some time after it has grown, so that a
+// replica which starts again applies all that it could.
+func (c *Core) tickCommit(now time.Time) {
+	switch {
+	case c.commit == c.savedCommit:
+		c.commitDue = time.Time{}
+	case c.commitDue.IsZero():
+		c.commitDue = now.Add(commitPause)
+	case !now.Before(c.commitDue):
+		c.hardDirty = true
+		c.commitDue = time.Time{}
+	}
+}
+
 func (c *Core) tickLeader(now time.Time) {
 	if !c.quorumHeard(now) {
 		c.becomeFollower(c.hard.Term, 0, now)
--- a/pkg/process/quorum/message.go
+++ b/pkg/process/quorum/message.go
@@ -39,6 +39,9 @@
 	Term uint64
 	// Vote is the candidate that this replica voted for in Term, or zero.
 	Vote NodeID
+	// Commit is what was known to be committed when this was written: a replica
+	// that starts applies as much before it hears of a leader.
+	Commit uint64
 }
 
 // Snapshot replaces all entries up to Index.
--- a/pkg/process/replica/wire.go
+++ b/pkg/process/replica/wire.go
@@ -63,6 +63,8 @@
 type savedHard struct {
 	Term uint64 `json:"term"`
 	Vote uint64 `json:"vote"`
+	// Commit is missing in folders of the first release.
+	Commit uint64 `json:"commit,omitempty"`
 }
 
 // DecodeSaved reads the state of a data folder.
@@ -73,7 +75,7 @@
 		if err := json.Unmarshal(saved.Hard, &h); err != nil {
 			return p, err
 		}
-		p.Hard = quorum.HardState{Term: h.Term, Vote: quorum.NodeID(h.Vote)}
+		p.Hard = quorum.HardState{Term: h.Term, Vote: quorum.NodeID(h.Vote), Commit: h.Commit}
 	}
 	if saved.Snapshot != nil {
 		snap, err := describeSnapshot(saved.Snapshot)
@@ -101,7 +103,7 @@
 	}
 	var b disk.Batch
 	if r.Hard != nil {
-		data, err := json.Marshal(savedHard{r.Hard.Term, uint64(r.Hard.Vote)})
+		data, err := json.Marshal(savedHard{r.Hard.Term, uint64(r.Hard.Vote), r.Hard.Commit})
 		if err != nil {
 			return err
 		}
