Name other founders if the first one lost its disk before it founded

Control names the founders of the store group once, and the first of them forms the group. It lost its disk in that second; with a new storage number it was no founder any more, and the group never formed.

Ruled out: to let any founder form the group: two might.

Change: control names others if the host of the first founder has another disk, and more of the founders are there with their empty disks than may be lost: then no majority can have accepted anything. The command names the founders that it replaces.

--- a/internal/process/catalog/catalog.go
+++ b/internal/process/catalog/catalog.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/plantainbank/plantainbank/internal/process/roster"
 	"github.com/plantainbank/plantainbank/internal/version/routing"
@@ -42,7 +43,8 @@
 	ZonesOut map[string]bool `json:"zonesout,omitempty"`
 	// Weights holds the newest named version of each model.
 	Weights map[string]uint64 `json:"weights,omitempty"`
-	// Founders are the first voters of the store group; set once.
+	// Founders are the first voters of the store group. Others replace them only if
+	// they never formed it.
 	Founders []Founder `json:"founders,omitempty"`
 	// Retiring names the store hosts that are to be emptied.
 	Retiring map[string]bool `json:"retiring,omitempty"`
@@ -66,7 +68,9 @@
 	Zone   *ZoneChange   `json:"zone,omitempty"`
 	Weight *WeightChange `json:"weight,omitempty"`
 	Found  []Founder     `json:"found,omitempty"`
-	Retire string        `json:"retire,omitempty"`
+	// Was holds the founders that Found replaces, none at first.
+	Was    []Founder `json:"was,omitempty"`
+	Retire string    `json:"retire,omitempty"`
 	// Office names the host that opens an office.
 	Office string       `json:"office,omitempty"`
 	Close  *WindowClose `json:"close,omitempty"`
@@ -152,7 +156,7 @@
 	case x.Weight != nil:
 		return c.putWeight(x.Weight)
 	case x.Found != nil:
-		return c.found(x.Found)
+		return c.found(x.Found, x.Was)
 	case x.Retire != "":
 		return c.retire(x.Retire)
 	case x.Office != "":
@@ -195,8 +199,8 @@
 	return true
 }
 
-func (c *Catalog) found(hosts []Founder) bool {
-	if c.Public.Founders != nil {
+func (c *Catalog) found(hosts, was []Founder) bool {
+	if !slices.Equal(c.Public.Founders, was) {
 		return false
 	}
 	c.Public.Founders = hosts
--- a/internal/process/director/stores.go
+++ b/internal/process/director/stores.go
@@ -24,9 +24,10 @@
 }
 
 // foundStores chooses the first voters of the store group, once, when enough
-// store hosts have shown up.
+// store hosts have shown up; and again if the first of them lost its disk before
+// it could found the group.
 func (s *Server) foundStores(o *office, now time.Time) {
-	if s.catalog.Public.Founders != nil {
+	if founders := s.catalog.Public.Founders; founders != nil && !neverFounded(founders, o.live(settings.RoleStore, now), s.cfg.Site.Tolerate) {
 		return
 	}
 	var empty []*host
@@ -46,13 +47,32 @@
 	}
 	o.founding = now
 	founders := chooseFounders(empty, s.cfg.Site.Replicas())
-	go s.proposeFounders(founders)
+	go s.proposeFounders(founders, s.catalog.Public.Founders)
 }
 
-func (s *Server) proposeFounders(founders []catalog.Founder) {
+// neverFounded reports whether the group that the founders should form has surely
+// accepted nothing and never will: the first founder, which alone forms it, has
+// another disk now, and so many of the others are there with their empty disks
+// that no majority can have had an entry.
+func neverFounded(founders []catalog.Founder, live []*host, tolerate int) bool {
+	lost, empty := false, 0
+	for _, h := range live {
+		for i, f := range founders {
+			switch {
+			case h.Addr == f.Addr && h.Disk != f.Disk && i == 0:
+				lost = true
+			case h.Disk == f.Disk && h.Empty:
+				empty++
+			}
+		}
+	}
+	return lost && empty > tolerate
+}
+
+func (s *Server) proposeFounders(founders, was []catalog.Founder) {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
-	if err := s.propose(ctx, &catalog.Command{Found: founders}); err != nil {
+	if err := s.propose(ctx, &catalog.Command{Found: founders, Was: was}); err != nil {
 		s.log.WithError(err).Warn("could not name the founders of the store group")
 		return
 	}
