Give processes under test a group of their own

Cause: TestIsolatedControlHostReturns failed once in the whole script beside load: "os: process already finished" for a control process that the test had paused. The shell that had started the run ended in that second; the kernel then hangs up the stopped processes of a group that lost its last outside parent, and the process ended without a line in its log.

Ruled out: memory (16 GB free, nothing in the kernel's log); an error of its own (it would have logged it).

Change: processes under test have a process group each. No check was changed.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -171,7 +171,9 @@
 	defer log.Close()
 	p := &Process{Name: name, cmd: exec.Command(program, args...), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// A group of its own: the kernel hangs up the stopped processes of a group
+	// whose last outside parent ends, such as the shell that started a test run.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
