--- a/pkg/process/quorum/node.go
+++ b/pkg/process/quorum/node.go
@@ -142,16 +142,6 @@
 	return n, nil
 }
 
-// restore replaces the state machine by what a snapshot holds.
-func restore(cfg Config, s *Snapshot) error {
-	r, err := s.Reader()
-	if r == nil || err != nil {
-		return err
-	}
-	defer r.Close()
-	return cfg.Restore(r)
-}
-
 // Run drives the node until ctx ends or the disk fails.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
@@ -270,37 +260,6 @@
 	return nil
 }
 
-// fillSnapshots puts the state into the messages that carry it, or sends these
-// bit by bit and returns the others. The state machine has applied exactly what
-// the core calls applied.
-func (n *Node) fillSnapshots(messages []Message) []Message {
-	out := messages[:0]
-	var data []byte
-	for _, m := range messages {
-		if m.Kind == MsgSnapshot && n.cfg.SendState != nil {
-			n.cfg.SendState(m, n.cfg.Freeze())
-			continue
-		}
-		if m.Kind == MsgSnapshot {
-			if data == nil {
-				data = n.cfg.Save()
-			}
-			m.Snapshot.Data = data
-		}
-		out = append(out, m)
-	}
-	return out
-}
-
-// StateSent tells that a piece of the state has reached a peer, so that the
-// state is not sent again meanwhile.
-func (n *Node) StateSent(to NodeID) {
-	select {
-	case n.calls <- func() { n.core.stateSent(to) }:
-	default: // the next piece tells the same
-	}
-}
-
 func (n *Node) apply(e Entry) {
 	var result any
 	n.bytes += len(e.Data)
@@ -334,62 +293,6 @@
 	}
 }
 
-func (n *Node) maybeSnapshot() error {
-	if n.freezing || !n.snapshotDue() {
-		return nil
-	}
-	n.bytes = 0
-	if n.cfg.Freeze != nil {
-		n.freeze()
-		return nil
-	}
-	snap := n.core.Compact(n.core.applied, n.cfg.Save())
-	n.saved = snap.Index
-	return n.cfg.SaveSnapshot(snap)
-}
-
-// frozen is a snapshot that was written, or why it was not.
-type frozen struct {
-	index uint64
-	err   error
-}
-
-// freeze starts to write a snapshot of the state as it is now.
-func (n *Node) freeze() {
-	n.freezing = true
-	snap := n.core.snapshotAt(n.core.applied)
-	write := n.cfg.Freeze()
-	go func() { n.written <- frozen{snap.Index, n.cfg.WriteSnapshot(snap, write)} }()
-}
-
-// trim drops the log that a written snapshot replaces.
-func (n *Node) trim(x frozen) error {
-	n.freezing = false
-	if x.err != nil && n.cfg.SnapshotFailed != nil {
-		n.cfg.SnapshotFailed(x.err)
-		n.notBefore, n.bytes = time.Now().Add(snapshotPause), max(n.bytes, n.cfg.SnapshotBytes)
-		return nil
-	}
-	if x.err != nil {
-		return x.err
-	}
-	if x.index <= n.saved {
-		return nil // a newer one came from the leader meanwhile
-	}
-	n.core.Compact(x.index, nil)
-	n.saved = x.index
-	return n.cfg.Trim(x.index)
-}
-
-func (n *Node) snapshotDue() bool {
-	if n.core.applied <= n.saved || time.Now().Before(n.notBefore) {
-		return false
-	}
-	many := n.cfg.SnapshotEvery > 0 && n.core.applied >= n.saved+n.cfg.SnapshotEvery
-	large := n.cfg.SnapshotBytes > 0 && n.bytes >= n.cfg.SnapshotBytes
-	return many || large
-}
-
 func (n *Node) publish() {
 	c := n.core
 	s := Status{ID: c.id, Role: c.role, Term: c.hard.Term, Leader: c.leader, LeaderAddr: c.addr(c.leader),
@@ -432,91 +335,3 @@
 		}
 	}
 }
-
-// Do runs f on the node's goroutine and waits for it.
-func (n *Node) Do(ctx context.Context, f func()) error {
-	ran := make(chan struct{})
-	if err := n.post(ctx, func() { f(); close(ran) }); err != nil {
-		return err
-	}
-	select {
-	case <-ran:
-		return nil
-	case <-n.done:
-		return &UnknownOutcomeError{Reason: "the replica stopped"}
-	}
-}
-
-func (n *Node) post(ctx context.Context, f func()) error {
-	select {
-	case n.calls <- f:
-		return nil
-	case <-n.done:
-		return &NotLeaderError{}
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// outcome is the answer to a proposal.
-type outcome struct {
-	result any
-	err    error
-}
-
-// Propose commits a command and returns the result of applying it. The error
-// is a *NotLeaderError if the command was surely not proposed, and an
-// *UnknownOutcomeError if it may still be committed.
-func (n *Node) Propose(ctx context.Context, data []byte) (any, error) {
-	return n.ask(ctx, func() (uint64, uint64, error) {
-		return n.core.Propose(EntryCommand, data)
-	})
-}
-
-// ChangeMembers commits the membership that change returns.
-func (n *Node) ChangeMembers(ctx context.Context, change func(Members) Members) error {
-	_, err := n.ask(ctx, func() (uint64, uint64, error) {
-		return n.core.ProposeMembers(change(n.core.log.current()))
-	})
-	return err
-}
-
-func (n *Node) ask(ctx context.Context, propose func() (index, term uint64, err error)) (any, error) {
-	answer := make(chan outcome, 1)
-	err := n.post(ctx, func() {
-		index, term, err := propose()
-		if err != nil {
-			answer <- outcome{err: err}
-			return
-		}
-		n.waiting[index] = waiter{term, func(r any, err error) { answer <- outcome{r, err} }}
-	})
-	if err != nil {
-		return nil, err
-	}
-	select {
-	case o := <-answer:
-		return o.result, o.err
-	case <-ctx.Done():
-		return nil, &UnknownOutcomeError{Reason: ctx.Err().Error()}
-	case <-n.done:
-		return nil, &UnknownOutcomeError{Reason: "the replica stopped"}
-	}
-}
-
-// ProposeLater commits a command from the node's own goroutine; done runs on
-// that goroutine too.
-func (n *Node) ProposeLater(data []byte, done func(result any, err error)) {
-	index, term, err := n.core.Propose(EntryCommand, data)
-	if err != nil {
-		done(nil, err)
-		return
-	}
-	n.waiting[index] = waiter{term, done}
-}
-
-// Form makes an empty replica the first of a new group. It must run on the
-// node's goroutine, through Do, and only when all members are empty.
-func (n *Node) Form(members Members) error {
-	return n.core.Form(members)
-}
--- /dev/null
+++ b/pkg/process/quorum/node_calls.go
@@ -0,0 +1,91 @@
+package quorum
+
+import "context"
+
+// Do runs f on the node's goroutine and waits for it.
+func (n *Node) Do(ctx context.Context, f func()) error {
+	ran := make(chan struct{})
+	if err := n.post(ctx, func() { f(); close(ran) }); err != nil {
+		return err
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-n.done:
+		return &UnknownOutcomeError{Reason: "the replica stopped"}
+	}
+}
+
+func (n *Node) post(ctx context.Context, f func()) error {
+	select {
+	case n.calls <- f:
+		return nil
+	case <-n.done:
+		return &NotLeaderError{}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// outcome is the answer to a proposal.
+type outcome struct {
+	result any
+	err    error
+}
+
+// Propose commits a command and returns the result of applying it. The error
+// is a *NotLeaderError if the command was surely not proposed, and an
+// *UnknownOutcomeError if it may still be committed.
+func (n *Node) Propose(ctx context.Context, data []byte) (any, error) {
+	return n.ask(ctx, func() (uint64, uint64, error) {
+		return n.core.Propose(EntryCommand, data)
+	})
+}
+
+// ChangeMembers commits the membership that change returns.
+func (n *Node) ChangeMembers(ctx context.Context, change func(Members) Members) error {
+	_, err := n.ask(ctx, func() (uint64, uint64, error) {
+		return n.core.ProposeMembers(change(n.core.log.current()))
+	})
+	return err
+}
+
+func (n *Node) ask(ctx context.Context, propose func() (index, term uint64, err error)) (any, error) {
+	answer := make(chan outcome, 1)
+	err := n.post(ctx, func() {
+		index, term, err := propose()
+		if err != nil {
+			answer <- outcome{err: err}
+			return
+		}
+		n.waiting[index] = waiter{term, func(r any, err error) { answer <- outcome{r, err} }}
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case o := <-answer:
+		return o.result, o.err
+	case <-ctx.Done():
+		return nil, &UnknownOutcomeError{Reason: ctx.Err().Error()}
+	case <-n.done:
+		return nil, &UnknownOutcomeError{Reason: "the replica stopped"}
+	}
+}
+
+// ProposeLater commits a command from the node's own goroutine; done runs on
+// that goroutine too.
+func (n *Node) ProposeLater(data []byte, done func(result any, err error)) {
+	index, term, err := n.core.Propose(EntryCommand, data)
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	n.waiting[index] = waiter{term, done}
+}
+
+// Form makes an empty replica the first of a new group. It must run on the
+// node's goroutine, through Do, and only when all members are empty.
+func (n *Node) Form(members Members) error {
+	return n.core.Form(members)
+}
