--- a/internal/connection/place/pace_test.go
+++ b/internal/connection/place/pace_test.go
@@ -43,7 +43,7 @@
 		}
 	}
 	for _, x := range slots {
-		if got := table.Better(x, want, pace(x.ID), now); got != slow(x.ID) {
+		if got := table.ShouldMove(x, want, pace(x.ID), now); got != slow(x.ID) {
 			t.Errorf("an item at %s that takes %v an event moves: %v", x.ID, pace(x.ID), got)
 		}
 	}
@@ -72,15 +72,15 @@
 	}
 	want := Want{Service: "s", Strict: true}
 	table, slot := two(func(*roster.Instance) {})
-	if !table.Better(slot, want, 200*time.Millisecond, now) {
+	if !table.ShouldMove(slot, want, 200*time.Millisecond, now) {
 		t.Fatal("an idle fast server is not seen")
 	}
 	table.Take(want, now)
-	if table.Better(slot, want, 200*time.Millisecond, now) {
+	if table.ShouldMove(slot, want, 200*time.Millisecond, now) {
 		t.Fatal("an item would move to a full server")
 	}
 	table, slot = two(func(x *roster.Instance) { x.State = roster.Draining })
-	if table.Better(slot, want, 200*time.Millisecond, now) {
+	if table.ShouldMove(slot, want, 200*time.Millisecond, now) {
 		t.Fatal("an item would move to a server that leaves")
 	}
 }
--- a/internal/connection/place/table.go
+++ b/internal/connection/place/table.go
@@ -314,10 +314,10 @@
 	}
 }
 
-// Better reports whether a request that takes pace for a unit of work at a server
+// ShouldMove reports whether a request that takes pace for a unit of work at a server
 // should go on at another one: it takes far longer than is typical, and a server
 // that is as fast as the others has a free slot.
-func (t *Table) Better(x Slot, w Want, pace time.Duration, now time.Time) bool {
+func (t *Table) ShouldMove(x Slot, w Want, pace time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	typical := t.typicalPace(w.Service)
--- a/internal/process/store/carry.go
+++ b/internal/process/store/carry.go
@@ -31,36 +31,36 @@
 	events, pieces int
 }
 
-// shelfKey names an item over the batches of a workspace.
-type shelfKey struct{ workspace, route, model, item string }
-
-// shelved is what runs of an item brought before its batch ended.
-type shelved struct {
-	progress itemrun.Progress
-	print    uint64
-	since    time.Time
+// partialKey names an item over the batches of a workspace.
+type partialKey struct{ workspace, route, model, item string }
+
+// partial is what runs of an item brought before its batch ended.
+type partial struct {
+	progress    itemrun.Progress
+	fingerprint uint64
+	since       time.Time
 }
 
-// shelf holds what unfinished items of ended batches have brought.
-type shelf struct{ all map[shelfKey]shelved }
+// partials holds what unfinished items of ended batches have brought.
+type partials struct{ all map[partialKey]partial }
 
-func newShelf() *shelf { return &shelf{map[shelfKey]shelved{}} }
+func newPartials() *partials { return &partials{map[partialKey]partial{}} }
 
-func keyOf(b *batch.Batch, item string) shelfKey {
-	return shelfKey{b.Workspace, b.Route, b.Model, item}
+func keyOf(b *batch.Batch, item string) partialKey {
+	return partialKey{b.Workspace, b.Route, b.Model, item}
 }
 
 // put keeps what an item has brought.
-func (s *shelf) put(w *work, now time.Time) {
+func (s *partials) put(w *work, now time.Time) {
 	if w.progress.Events > 0 {
-		s.all[keyOf(w.batch, w.item.ID)] = shelved{w.progress, w.item.Print, now}
+		s.all[keyOf(w.batch, w.item.ID)] = partial{w.progress, w.item.Fingerprint, now}
 	}
 }
 
 // take returns what an item brought in an earlier batch, if the versions fit.
-func (s *shelf) take(b *batch.Batch, item *batch.Item) (itemrun.Progress, bool) {
+func (s *partials) take(b *batch.Batch, item *batch.Item) (itemrun.Progress, bool) {
 	x, ok := s.all[keyOf(b, item.ID)]
-	if !ok || x.print != item.Print || !b.Fits(x.progress.Versions) {
+	if !ok || x.fingerprint != item.Fingerprint || !b.Fits(x.progress.Versions) {
 		return itemrun.Progress{}, false
 	}
 	delete(s.all, keyOf(b, item.ID))
@@ -68,7 +68,7 @@
 }
 
 // tidy drops what nobody has asked for.
-func (s *shelf) tidy(now time.Time) {
+func (s *partials) tidy(now time.Time) {
 	for k, x := range s.all {
 		if now.Sub(x.since) > keptLongest {
 			delete(s.all, k)
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -86,7 +86,7 @@
 	// homes prefers a server for the items of a group.
 	homes map[string]string
 	// kept holds what runs of ended batches have brought.
-	kept  *shelf
+	kept  *partials
 	state *feed.State
 	// tokenTime is how long an engine takes for a token that callers estimate.
 	tokenTime time.Duration
@@ -114,7 +114,7 @@
 }
 
 func (d *driver) clear() {
-	d.queue, d.works, d.homes, d.kept, d.term = pick.New(), map[pick.Key]*work{}, map[string]string{}, newShelf(), 0
+	d.queue, d.works, d.homes, d.kept, d.term = pick.New(), map[pick.Key]*work{}, map[string]string{}, newPartials(), 0
 }
 
 func (d *driver) poke() {
--- a/internal/process/store/pace.go
+++ b/internal/process/store/pace.go
@@ -79,7 +79,7 @@
 		return
 	}
 	d.table.Pace(slot, p.mean)
-	if w.moves < movesMost && d.table.Better(slot, want, p.mean, now) {
+	if w.moves < movesMost && d.table.ShouldMove(slot, want, p.mean, now) {
 		w.moves++
 		w.cancel(errSlow)
 	}
--- a/internal/process/weights/weights.go
+++ b/internal/process/weights/weights.go
@@ -30,7 +30,8 @@
 // Periods and limits of a rollout.
 const (
 	// loadTime is how long a load takes on an engine that is not disturbed;
-	// after it the next engine may start.
+	// after it the next engine may start. An engine that still runs requests loads
+	// later, when fewer others do.
 	loadTime = 950 * time.Millisecond
 	// confirmTimeout is how long an accepted order may stay without effect
 	// before it is given again.
--- a/internal/request/batch/batch.go
+++ b/internal/request/batch/batch.go
@@ -58,8 +58,8 @@
 	Length int `json:"length,omitempty"`
 	// Group names the items that are worth something only together.
 	Group string `json:"group,omitempty"`
-	// Print is a hash of what the item asks; it outlives the body.
-	Print uint64 `json:"print,omitempty"`
+	// Fingerprint is a hash of what the item asks; it outlives the body.
+	Fingerprint uint64 `json:"print,omitempty"`
 	// Part is what runs have brought so far, nil if nothing. It never changes: a
 	// longer one replaces it.
 	Part *Part `json:"part,omitempty"`
@@ -202,7 +202,7 @@
 		return Effect{}
 	}
 	for i := range b.Items {
-		b.Items[i].Print = b.Items[i].print()
+		b.Items[i].Fingerprint = b.Items[i].fingerprint()
 	}
 	s.put(b)
 	for _, r := range b.Results {
--- a/internal/request/batch/form.go
+++ b/internal/request/batch/form.go
@@ -86,7 +86,7 @@
 		Results: resultsToWire(b.Results)}
 	for _, x := range b.Items {
 		w.Items = append(w.Items, &batchlog.Item{Id: x.ID, Path: x.Path, Headers: x.Headers, Body: x.Body,
-			Tokens: int64(x.Tokens), Group: x.Group, Print: x.Print, Part: x.Part.wire(),
+			Tokens: int64(x.Tokens), Group: x.Group, Print: x.Fingerprint, Part: x.Part.wire(),
 			Length: int64(x.Length)})
 	}
 	return w
@@ -98,7 +98,7 @@
 		Results: resultsFromWire(w.Results), Items: make([]Item, 0, len(w.Items))}
 	for _, x := range w.Items {
 		b.Items = append(b.Items, Item{ID: x.Id, Path: x.Path, Headers: x.Headers, Body: x.Body, Tokens: int(x.Tokens), Group: x.Group,
-			Print: x.Print, Part: partFromWire(x.Part), Length: int(x.Length)})
+			Fingerprint: x.Print, Part: partFromWire(x.Part), Length: int(x.Length)})
 	}
 	return b
 }
--- a/internal/request/batch/part.go
+++ b/internal/request/batch/part.go
@@ -84,7 +84,7 @@
 		for i := range b.Items {
 			x := &b.Items[i]
 			j, ok := p.index[x.ID]
-			if !ok || listed[x.ID] || p.Items[j].Print != x.print() {
+			if !ok || listed[x.ID] || p.Items[j].Fingerprint != x.fingerprint() {
 				continue
 			}
 			if r := p.result(x.ID); r != nil && r.State == Completed && b.Fits(r.Versions) {
@@ -108,10 +108,10 @@
 	return &b.Results[i]
 }
 
-// print hashes what an item asks.
-func (x *Item) print() uint64 {
-	if x.Print != 0 {
-		return x.Print
+// fingerprint hashes what an item asks.
+func (x *Item) fingerprint() uint64 {
+	if x.Fingerprint != 0 {
+		return x.Fingerprint
 	}
 	h := xxh3.New()
 	add := func(text string) {
