Sync what a start reads before the process acts on it

Cause: after a kill, frames that were written but not synced are still read, since the operating system's cache holds them. load took them as durable: the process voted, acknowledged and went on in a new segment, which it synced; the old segment was never synced.

Change: Open syncs the last segment and the directory after reading them and before it creates the next segment. Weighed against rewriting the tail into the new segment: that costs a copy of up to 16 MB where one sync of clean pages costs a disk round trip.

--- a/pkg/process/disk/load.go
+++ b/pkg/process/disk/load.go
@@ -40,6 +40,9 @@
 	if err := d.loadSegments(saved); err != nil {
 		return nil, err
 	}
+	if err := d.syncLoaded(); err != nil {
+		return nil, err
+	}
 	if err := d.rotate(); err != nil {
 		return nil, err
 	}
@@ -117,6 +120,29 @@
 	return nil
 }
 
+// syncLoaded makes everything that was read durable. A killed process may have left writes
+// that only the operating system's cache holds: the caller acts on what it reads, so a later
+// power loss must not remove it. Segments before the last one were synced when their
+// successor was created.
+func (d *Disk) syncLoaded() error {
+	if len(d.closed) > 0 {
+		if err := d.syncPath(d.closed[len(d.closed)-1].path); err != nil {
+			return err
+		}
+	}
+	return d.syncDir()
+}
+
+// syncPath syncs a file that is not open.
+func (d *Disk) syncPath(path string) error {
+	f, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer f.Close()
+	return Error.Wrap(d.files.Sync(f))
+}
+
 func (d *Disk) truncate(path string, size int64) error {
 	f, err := os.OpenFile(path, os.O_WRONLY, 0)
 	if err != nil {
