Mend a batch acknowledged but stored nowhere, and progress lost between batches

Causes: - storeClient.call returned no error when control had named no store host for 2.5 s, since nothing was tried: the caller got 202 for a batch that no host had. The item now waits for the canceled run, and takes its progress when it starts. A run of an earlier term is not counted. - The log line of provisionalUpdate read the catalog outside the control goroutine. - reportPending stayed set after a call that succeeded, and hid the next failure.

--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -88,12 +88,13 @@
 		return nil
 	}
 	var n *fleet.News
+	instances := 0
 	err := s.do(ctx, func() {
 		if s.catalog.Public.Config == nil || s.replica.Node().Status().Leader != 0 {
 			return
 		}
 		n = &fleet.News{Catalog: s.catalog.Revision, State: encode(s.catalog.Public), Provisional: true, Entries: provisionalEntryHosts}
-		if len(s.catalog.Instances) > 0 {
+		if instances = len(s.catalog.Instances); instances > 0 {
 			n.Roster, n.Instances = provisionalRosterRevision, encode(s.catalog.Instances)
 		}
 	})
@@ -102,7 +103,7 @@
 		return nil
 	}
 	if n != nil {
-		s.log.WithFields(logrus.Fields{"to": q.Host.Name, "catalog": n.Catalog, "instances": len(s.catalog.Instances)}).
+		s.log.WithFields(logrus.Fields{"to": q.Host.Name, "catalog": n.Catalog, "instances": instances}).
 			Info("sent the provisional state from disk")
 	}
 	return n
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -99,8 +99,8 @@
 	cancelPoll context.CancelFunc
 	// disconnected is true from a failed call until the next answer of a control process.
 	disconnected bool
-	// reportPending is true from a call of ReportNow until the next call that fails; that
-	// failure is not counted against the control process.
+	// reportPending is true from a call of ReportNow until the end of the call that it
+	// cancels, whose failure is not counted against the control process.
 	reportPending bool
 }
 
@@ -149,6 +149,7 @@
 	}
 	if err == nil {
 		f.retryDelay = retryMin
+		f.clearReportPending()
 		f.handleAnswer(addr)
 		return
 	}
--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -34,6 +34,8 @@
 	ErrNoBatch = errors.New("no such batch")
 	// ErrNotStored means that definitely no store host has the batch.
 	ErrNotStored = errors.New("no store host could be reached")
+	// errNoStoreAddress means that control has named no store host yet, so nothing was sent.
+	errNoStoreAddress = errors.New("no address of a store host is known")
 	// ErrOutcomeUnknown means that a store host may have executed the call.
 	ErrOutcomeUnknown = errors.New("the store group gave no clear answer")
 )
@@ -48,7 +50,7 @@
 // call runs f against the leader, and looks for the leader until leaderSearchTimeout is
 // over. definite is false if a call that failed may have been executed.
 func (c *storeClient) call(ctx context.Context, wait time.Duration, f func(context.Context, fleet.Batches) error) (definite bool, err error) {
-	definite = true
+	definite, err = true, errNoStoreAddress
 	deadline := time.Now().Add(leaderSearchTimeout)
 	addr, attempts := c.state().StoreLeader, 0
 	for {
--- a/internal/process/store/checkpoint.go
+++ b/internal/process/store/checkpoint.go
@@ -86,7 +86,7 @@
 
 // newPendingItem returns a pending item with the progress of its earlier runs.
 func (d *driver) newPendingItem(b *batch.Batch, item batch.Item) *pendingItem {
-	w := &pendingItem{batch: b, item: item}
+	w := &pendingItem{batch: b, item: item, term: d.term}
 	if stored := item.Partial; stored != nil && b.AllowsVersions(stored.Versions) {
 		text, err := stored.Text()
 		if err != nil {
@@ -94,35 +94,58 @@
 		} else {
 			w.progress = itemrun.Progress{Data: []string{text}, Events: stored.Events, LastEventID: stored.LastEventID, Versions: stored.Versions}
 			w.checkpointed = checkpointPos{stored.Events, 1}
+			d.s.log.WithFields(logrus.Fields{"batch": b.ID, "item": item.ID, "events": stored.Events, "versions": stored.Versions}).
+				Info("item resumes from a checkpoint")
 		}
 	}
-	if p, ok := d.partials.take(b, &item); ok && p.Events > w.progress.Events {
-		w.progress, w.checkpointed = p, checkpointPos{}
-	}
-	if w.progress.Events > 0 {
-		d.s.log.WithFields(logrus.Fields{"batch": b.ID, "item": item.ID, "events": w.progress.Events, "versions": w.progress.Versions}).
-			Info("item resumes from an earlier run")
-	}
+	d.takePartial(w)
 	return w
 }
 
-// endItem stops an item whose batch has ended and retains its progress.
+// takePartial gives an item the progress of an ended batch, if that is further than its own.
+// The caller holds d.mu.
+func (d *driver) takePartial(w *pendingItem) {
+	p, ok := d.partials.take(w.batch, &w.item)
+	if !ok || p.Events <= w.progress.Events {
+		return
+	}
+	w.progress, w.checkpointed = p, checkpointPos{}
+	d.s.log.WithFields(logrus.Fields{"batch": w.batch.ID, "item": w.item.ID, "events": p.Events, "versions": p.Versions}).
+		Info("item resumes from an earlier run")
+}
+
+// endItem stops an item whose batch has ended and retains its progress. A run returns its
+// progress when it has ended, which endingRuns counts until then.
 func (d *driver) endItem(w *pendingItem) {
 	if w.running {
-		w.cancel(errBatchEnded) // runEnded retains the progress
+		d.endingRuns[keyOf(w.batch, w.item.ID)]++
+		w.cancel(errBatchEnded)
 		return
 	}
 	d.partials.put(w, time.Now())
 }
 
+// awaitsProgress reports whether a canceled run of the same item in an earlier batch is still
+// to return its progress. The item is not started before: it would generate the same events
+// again. The caller holds d.mu.
+func (d *driver) awaitsProgress(w *pendingItem) bool {
+	return d.endingRuns[keyOf(w.batch, w.item.ID)] > 0
+}
+
 // runEnded returns ownership of the progress to the driver after a run.
 func (d *driver) runEnded(k itemqueue.Key, w *pendingItem) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w.running = false
-	if d.pending[k] != w && d.term != 0 {
-		d.partials.put(w, time.Now())
+	if d.pending[k] == w || d.term != w.term {
+		return
+	}
+	key := keyOf(w.batch, w.item.ID)
+	if d.endingRuns[key]--; d.endingRuns[key] <= 0 {
+		delete(d.endingRuns, key)
 	}
+	d.partials.put(w, time.Now())
+	d.wakeUp()
 }
 
 // checkpoint writes the progress of a run to the log once it has checkpointEvents new
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -45,6 +45,8 @@
 type pendingItem struct {
 	batch *batch.Batch
 	item  batch.Item
+	// term is the term of the driver that created the item.
+	term uint64
 	// service is the service whose engines run the item.
 	service string
 	// progress is owned by the run while running is true, otherwise by the driver.
@@ -89,7 +91,9 @@
 	preferred map[string]string
 	// partials holds the partial results of ended batches.
 	partials *partials
-	state    *feed.State
+	// endingRuns counts the runs of ended batches that were canceled and have not ended yet.
+	endingRuns map[partialKey]int
+	state      *feed.State
 	// tokenTime is the average run time per token of the callers' length estimates.
 	tokenTime time.Duration
 	// term is the term in which pending was built, zero while not the leader.
@@ -117,6 +121,7 @@
 
 func (d *driver) clear() {
 	d.queue, d.pending, d.preferred, d.partials, d.term = itemqueue.New(), map[itemqueue.Key]*pendingItem{}, map[string]string{}, newPartials(), 0
+	d.endingRuns = map[partialKey]int{}
 }
 
 func (d *driver) wakeUp() {
@@ -184,10 +189,10 @@
 	if err != nil {
 		return // leadership was lost meanwhile
 	}
+	d.term = term
 	for _, e := range open {
 		d.applyChange(e)
 	}
-	d.term = term
 	d.s.feed.ReportNow()
 	d.s.log.WithFields(logrus.Fields{"term": term, "batches": len(open), "items": len(d.pending)}).Info("driving batches")
 }
@@ -327,6 +332,12 @@
 	if route == nil {
 		return
 	}
+	if d.awaitsProgress(w) {
+		return
+	}
+	if w.runs == 0 {
+		d.takePartial(w)
+	}
 	w.service = route.Choose(hashFraction(w.item.ID))
 	key := requirementKey{w.service, w.batch.Model, w.batch.MinVersion}
 	if full[key] {
