Score the texts of items before their results are listed

Change: an item with a scorer is complete only with its score. - batch: an item has a scorer, a result a score. A complete text waits for its score in the log (a whole partial result), so no later leader runs the item again; its result refers to that text.

Weighed: a second log entry for the text (the result refers to it, so the text is written once) against running the engine again after a change of leader.

--- a/internal/connection/placement/table.go
+++ b/internal/connection/placement/table.go
@@ -267,6 +267,19 @@
 	return false
 }
 
+// Slots returns the number of slots of the servers of a service that can take requests now.
+func (t *Table) Slots(service string, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.servers {
+		if s.Service == service && s.State == roster.Ready && !t.zonesOut[s.Zone] && !now.Before(s.cooldownUntil) {
+			n += s.Slots
+		}
+	}
+	return n
+}
+
 func (t *Table) cost(s *server, median time.Duration, now time.Time) float64 {
 	relative := 1.0
 	if s.pace > 0 && median > 0 {
--- a/internal/process/store/batches.go
+++ b/internal/process/store/batches.go
@@ -135,7 +135,7 @@
 		if size += len(text); len(page.Results) > 0 && size > maxPageBytes {
 			break
 		}
-		page.Results = append(page.Results, &fleet.Result{Item: r.Item, State: string(r.State), Text: text, Versions: r.Versions})
+		page.Results = append(page.Results, &fleet.Result{Item: r.Item, State: string(r.State), Text: text, Versions: r.Versions, Score: r.Score})
 		page.Next++
 	}
 	return page, nil
--- a/internal/process/store/checkpoint.go
+++ b/internal/process/store/checkpoint.go
@@ -92,7 +92,9 @@
 		if err != nil {
 			d.s.log.WithError(err).WithFields(logrus.Fields{"batch": b.ID, "item": item.ID}).Error("cannot decompress a stored partial result")
 		} else {
-			w.progress = itemrun.Progress{Data: []string{text}, Events: stored.Events, LastEventID: stored.LastEventID, Versions: stored.Versions}
+			w.progress = itemrun.Progress{Data: []string{text}, Events: stored.Events, LastEventID: stored.LastEventID, Versions: stored.Versions,
+				Complete: stored.Whole}
+			w.textStored = stored.Whole
 			w.checkpointed = checkpointPos{stored.Events, 1}
 			d.s.log.WithFields(logrus.Fields{"batch": b.ID, "item": item.ID, "events": stored.Events, "versions": stored.Versions}).
 				Info("item resumes from a checkpoint")
@@ -106,10 +108,10 @@
 // The caller holds d.mu.
 func (d *driver) takePartial(w *pendingItem) {
 	p, ok := d.partials.take(w.batch, &w.item)
-	if !ok || p.Events <= w.progress.Events {
+	if !ok || w.progress.Complete || p.Events <= w.progress.Events {
 		return
 	}
-	w.progress, w.checkpointed = p, checkpointPos{}
+	w.progress, w.checkpointed, w.textStored = p, checkpointPos{}, false
 	d.s.log.WithFields(logrus.Fields{"batch": w.batch.ID, "item": w.item.ID, "events": p.Events, "versions": p.Versions}).
 		Info("item resumes from an earlier run")
 }
@@ -117,6 +119,9 @@
 // endItem stops an item whose batch has ended and retains its progress. A run returns its
 // progress when it has ended, which endingRuns counts until then.
 func (d *driver) endItem(w *pendingItem) {
+	if w.score != nil && w.cancel != nil {
+		w.cancel(errBatchEnded)
+	}
 	if w.running {
 		d.endingRuns[keyOf(w.batch, w.item.ID)]++
 		w.cancel(errBatchEnded)
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -12,8 +12,10 @@
 	"github.com/plantainbank/plantainbank/internal/connection/placement"
 	"github.com/plantainbank/plantainbank/internal/process/feed"
 	"github.com/plantainbank/plantainbank/internal/request/batch"
+	"github.com/plantainbank/plantainbank/internal/request/forward"
 	"github.com/plantainbank/plantainbank/internal/request/itemqueue"
 	"github.com/plantainbank/plantainbank/internal/request/itemrun"
+	"github.com/plantainbank/plantainbank/internal/request/scorequeue"
 	"github.com/plantainbank/plantainbank/pkg/process/quorum"
 )
 
@@ -56,6 +58,10 @@
 	// while a checkpoint is being written.
 	checkpointed  checkpointPos
 	checkpointing atomic.Bool
+	// textStored is true if the log has the complete text. score is nil until the text is
+	// complete and its scorer is to be called.
+	textStored bool
+	score      *scoring
 	// restarts counts how often the progress was discarded.
 	restarts int
 	// failures counts the runs that the engine failed, runs all runs, and moves the
@@ -67,7 +73,7 @@
 
 // reset discards the progress of earlier runs.
 func (w *pendingItem) reset() {
-	w.progress, w.checkpointed = itemrun.Progress{}, checkpointPos{}
+	w.progress, w.checkpointed, w.textStored = itemrun.Progress{}, checkpointPos{}, false
 	w.restarts++
 }
 
@@ -76,7 +82,10 @@
 	s      *Server
 	table  *placement.Table
 	runner *itemrun.Runner
-	wake   chan struct{}
+	// scoreTable and forwarder place and send the calls of scorers.
+	scoreTable *placement.Table
+	forwarder  *forward.Forwarder
+	wake       chan struct{}
 
 	// changeMu guards changes, the committed changes that the driver has not applied
 	// yet, in log order.
@@ -85,6 +94,7 @@
 
 	mu      sync.Mutex
 	queue   *itemqueue.Queue
+	scores  *scorequeue.Queue
 	pending map[itemqueue.Key]*pendingItem
 	// preferred maps the batch and group of an item to the engine that last ran an item
 	// of the group.
@@ -115,13 +125,18 @@
 		wake: make(chan struct{}, 1), state: &feed.State{}, tokenTime: initialTokenTime}
 	d.table.Connected = s.cfg.Engines.Idle
 	d.table.Overage, d.table.Slack = s.cfg.Site.Bounds.Overage, s.cfg.Site.Bounds.Slack
+	d.scoreTable = placement.NewTable()
+	d.scoreTable.Zone, d.scoreTable.Connected = s.cfg.Site.Zone, s.cfg.Engines.Idle
+	d.scoreTable.Overage, d.scoreTable.Slack = s.cfg.Site.Bounds.Overage, s.cfg.Site.Bounds.Slack
+	d.forwarder = forward.New(forward.Config{Table: d.scoreTable, Client: s.cfg.Engines, Headers: s.cfg.Headers, Log: s.log,
+		Scope: s.cfg.Scope, OnStart: func(string) {}})
 	d.clear()
 	return d
 }
 
 func (d *driver) clear() {
 	d.queue, d.pending, d.preferred, d.partials, d.term = itemqueue.New(), map[itemqueue.Key]*pendingItem{}, map[string]string{}, newPartials(), 0
-	d.endingRuns = map[partialKey]int{}
+	d.endingRuns, d.scores = map[partialKey]int{}, scorequeue.New()
 }
 
 func (d *driver) wakeUp() {
@@ -134,6 +149,7 @@
 // applyUpdate applies an update from control.
 func (d *driver) applyUpdate(st *feed.State) {
 	d.table.Update(st.Instances, st.Public.ZonesOut, st.Table, 1)
+	d.updateScoreTable(st)
 	d.mu.Lock()
 	d.state = st
 	d.mu.Unlock()
@@ -157,6 +173,7 @@
 		d.applyChanges()
 		if _, _, leads := d.s.replica.Node().HoldsLease(); leads {
 			d.dispatch(ctx)
+			d.dispatchScores(ctx)
 		}
 		if time.Since(lastCleanup) > time.Second {
 			lastCleanup = time.Now()
@@ -263,6 +280,7 @@
 		}
 		delete(d.pending, k)
 		d.queue.Done(k)
+		d.scores.Done(k)
 		delete(d.preferred, k.Batch+" "+e.groups[i])
 	}
 }
@@ -338,6 +356,11 @@
 	if w.runs == 0 {
 		d.takePartial(w)
 	}
+	if w.progress.Complete {
+		d.queue.Start(k)
+		go d.finish(ctx, k, w)
+		return
+	}
 	w.service = route.Choose(hashFraction(w.item.ID))
 	key := requirementKey{w.service, w.batch.Model, w.batch.MinVersion}
 	if full[key] {
--- a/internal/process/store/run.go
+++ b/internal/process/store/run.go
@@ -102,8 +102,8 @@
 	d.wakeUp()
 }
 
-// finish commits a complete item. If its weight versions are not allowed by its batch or
-// route, the item is restarted instead.
+// finish commits a complete item, or has it scored first if it has a scorer. If its weight
+// versions are not allowed by its batch or route, the item is restarted instead.
 func (d *driver) finish(ctx context.Context, k itemqueue.Key, w *pendingItem) {
 	for _, v := range w.progress.Versions {
 		if v < w.batch.MinVersion {
@@ -115,6 +115,10 @@
 		d.restart(k, w, "several weight versions produced it, the route allows one")
 		return
 	}
+	if w.item.Scorer != nil {
+		d.beginScoring(ctx, k, w)
+		return
+	}
 	r := batch.Result{Item: k.Item, State: batch.Completed, Text: w.progress.Text(), Versions: w.progress.Versions}
 	if err := r.Compress(); err != nil {
 		d.s.log.WithError(err).WithField("item", k.Item).Warn("cannot compress a result, storing it uncompressed")
@@ -185,4 +189,5 @@
 	defer d.mu.Unlock()
 	delete(d.pending, k)
 	d.queue.Done(k)
+	d.scores.Done(k)
 }
--- a/internal/request/batch/batch.go
+++ b/internal/request/batch/batch.go
@@ -62,11 +62,24 @@
 	Group string `json:"group,omitempty"`
 	// Fingerprint is a hash of the request; it is retained when the body is dropped.
 	Fingerprint uint64 `json:"print,omitempty"`
+	// Scorer is the request that scores the text, nil if the item has none. It is dropped
+	// with the body; ScorerFingerprint, a hash of it, is retained and zero without a scorer.
+	Scorer            *Scorer `json:"scorer,omitempty"`
+	ScorerFingerprint uint64  `json:"scorerprint,omitempty"`
 	// Partial is the partial result of earlier runs, nil if there is none. It is
 	// immutable: a checkpoint replaces it.
 	Partial *PartialResult `json:"part,omitempty"`
 }
 
+// Scorer is a request to a plain service that scores the complete text of an item. It belongs
+// to no workspace and is idempotent.
+type Scorer struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Body []byte `json:"body,omitempty"`
+}
+
 // Result is the result of an item.
 type Result struct {
 	Item  string `json:"item"`
@@ -76,6 +89,11 @@
 	Compressed []byte `json:"packed,omitempty"`
 	// Versions are the weight versions that produced the text.
 	Versions []uint64 `json:"versions,omitempty"`
+	// Score is the score of the text. It is set if the item has a scorer and is completed.
+	Score string `json:"score,omitempty"`
+	// Stored means that the text and the versions are those of the item's complete partial
+	// result. It is set only in commands.
+	Stored bool `json:"stored,omitempty"`
 }
 
 // buildIndexes builds the indexes of items and results.
@@ -205,6 +223,7 @@
 	}
 	for i := range b.Items {
 		b.Items[i].Fingerprint = b.Items[i].fingerprint()
+		b.Items[i].ScorerFingerprint = b.Items[i].scorerFingerprint()
 	}
 	s.put(b)
 	for _, r := range b.Results {
@@ -224,6 +243,9 @@
 		if !ok || b.hasResult[r.Item] {
 			continue
 		}
+		if r.Stored && !b.Items[i].takeStored(&r) {
+			continue
+		}
 		b.hasResult[r.Item] = true
 		b.Results = append(b.Results, r)
 		b.dropItemData(i)
@@ -239,14 +261,14 @@
 	}
 	b.Ended = true
 	for i := range b.Items {
-		b.Items[i].Body, b.Items[i].Headers = nil, nil
+		b.Items[i].Body, b.Items[i].Headers, b.Items[i].Scorer = nil, nil, nil
 	}
 	return Effect{Ended: b}
 }
 
 // dropItemData drops the data that an item with a result does not need any more.
 func (b *Batch) dropItemData(i int) {
-	b.Items[i].Body, b.Items[i].Headers, b.Items[i].Partial = nil, nil, nil
+	b.Items[i].Body, b.Items[i].Headers, b.Items[i].Partial, b.Items[i].Scorer = nil, nil, nil, nil
 }
 
 // Expired returns the IDs of the batches that can be deleted: an ended batch once the
--- a/internal/request/batch/encoding.go
+++ b/internal/request/batch/encoding.go
@@ -87,7 +87,7 @@
 	for _, x := range b.Items {
 		w.Items = append(w.Items, &batchlog.Item{Id: x.ID, Path: x.Path, Headers: x.Headers, Body: x.Body,
 			Tokens: int64(x.Tokens), Group: x.Group, Print: x.Fingerprint, Part: x.Partial.toProto(),
-			Length: int64(x.LengthHint)})
+			Length: int64(x.LengthHint), Scorer: x.Scorer.toProto(), Scorerprint: x.ScorerFingerprint})
 	}
 	return w
 }
@@ -98,15 +98,31 @@
 		Results: resultsFromProto(w.Results), Items: make([]Item, 0, len(w.Items))}
 	for _, x := range w.Items {
 		b.Items = append(b.Items, Item{ID: x.Id, Path: x.Path, Headers: x.Headers, Body: x.Body, Tokens: int(x.Tokens), Group: x.Group,
-			Fingerprint: x.Print, Partial: partialFromProto(x.Part), LengthHint: int(x.Length)})
+			Fingerprint: x.Print, Partial: partialFromProto(x.Part), LengthHint: int(x.Length),
+			Scorer: scorerFromProto(x.Scorer), ScorerFingerprint: x.Scorerprint})
 	}
 	return b
 }
 
+func (x *Scorer) toProto() *batchlog.Scorer {
+	if x == nil {
+		return nil
+	}
+	return &batchlog.Scorer{Id: x.ID, Host: x.Host, Path: x.Path, Body: x.Body}
+}
+
+func scorerFromProto(w *batchlog.Scorer) *Scorer {
+	if w == nil {
+		return nil
+	}
+	return &Scorer{ID: w.Id, Host: w.Host, Path: w.Path, Body: w.Body}
+}
+
 func resultsToProto(results []Result) []*batchlog.Result {
 	var out []*batchlog.Result
 	for _, r := range results {
-		out = append(out, &batchlog.Result{Item: r.Item, State: string(r.State), Text: r.Text, Packed: r.Compressed, Versions: r.Versions})
+		out = append(out, &batchlog.Result{Item: r.Item, State: string(r.State), Text: r.Text, Packed: r.Compressed, Versions: r.Versions,
+			Score: r.Score, Stored: r.Stored})
 	}
 	return out
 }
@@ -114,7 +130,8 @@
 func resultsFromProto(results []*batchlog.Result) []Result {
 	var out []Result
 	for _, r := range results {
-		out = append(out, Result{Item: r.Item, State: State(r.State), Text: r.Text, Compressed: r.Packed, Versions: r.Versions})
+		out = append(out, Result{Item: r.Item, State: State(r.State), Text: r.Text, Compressed: r.Packed, Versions: r.Versions,
+			Score: r.Score, Stored: r.Stored})
 	}
 	return out
 }
--- a/internal/request/batch/partial.go
+++ b/internal/request/batch/partial.go
@@ -21,6 +21,9 @@
 	// LastEventID is the ID of the last event.
 	LastEventID string   `json:"lastid"`
 	Versions    []uint64 `json:"versions"`
+	// Whole is true if the text is complete and only its score is missing. Chunks then has
+	// one element.
+	Whole bool `json:"whole,omitempty"`
 }
 
 // Checkpoint extends or replaces the partial result of an item.
@@ -46,6 +49,16 @@
 	return strings.Join(texts, "\n"), nil
 }
 
+// takeStored completes a result whose text is the item's complete partial result, and reports
+// whether there is one.
+func (x *Item) takeStored(r *Result) bool {
+	if x.Partial == nil || !x.Partial.Whole {
+		return false
+	}
+	r.Compressed, r.Versions, r.Stored = x.Partial.Chunks[0], x.Partial.Versions, false
+	return true
+}
+
 // AllowsVersions reports whether versions are allowed in a result of the batch.
 func (b *Batch) AllowsVersions(versions []uint64) bool {
 	return len(versions) > 0 && slices.Min(versions) >= b.MinVersion
@@ -63,7 +76,11 @@
 		return
 	}
 	next := *x.Partial
-	if current := b.Items[i].Partial; x.Offset > 0 {
+	current := b.Items[i].Partial
+	if current != nil && current.Whole && !next.Whole {
+		return // it was sent before the text was complete
+	}
+	if x.Offset > 0 {
 		if current == nil || current.Events != x.Offset {
 			return
 		}
@@ -89,17 +106,39 @@
 				continue
 			}
 			if r := p.result(x.ID); r != nil && r.State == Completed && b.AllowsVersions(r.Versions) {
-				b.Results = append(b.Results, *r)
-				reused[x.ID] = true
+				if p.Items[j].ScorerFingerprint == x.scorerFingerprint() {
+					b.Results = append(b.Results, *r)
+					reused[x.ID] = true
+				} else if partial := r.wholePartial(); partial != nil {
+					x.Partial = partial // the same text, to be scored by another request
+				}
 				continue
 			}
-			if partial := p.Items[j].Partial; partial != nil && b.AllowsVersions(partial.Versions) && (x.Partial == nil || partial.Events > x.Partial.Events) {
+			if partial := p.Items[j].Partial; partial != nil && b.AllowsVersions(partial.Versions) && (x.Partial == nil || partial.isFurther(x.Partial)) {
 				x.Partial = partial
 			}
 		}
 	}
 }
 
+// isFurther reports whether p has more of the text of an item than old.
+func (p *PartialResult) isFurther(old *PartialResult) bool {
+	return !old.Whole && (p.Whole || p.Events > old.Events)
+}
+
+// wholePartial returns the text of a result as a complete partial result, or nil if the text
+// cannot be compressed.
+func (r *Result) wholePartial() *PartialResult {
+	packed := r.Compressed
+	if packed == nil {
+		var err error
+		if packed, err = Compress(r.Text); err != nil {
+			return nil
+		}
+	}
+	return &PartialResult{Chunks: [][]byte{packed}, Versions: r.Versions, Whole: true}
+}
+
 // result returns the result of an item, or nil if it has none.
 func (b *Batch) result(item string) *Result {
 	if !b.hasResult[item] {
@@ -128,16 +167,29 @@
 	return h.Sum64() | 1 // never zero
 }
 
+// scorerFingerprint returns a hash of the scorer, zero if the item has none.
+func (x *Item) scorerFingerprint() uint64 {
+	if x.ScorerFingerprint != 0 || x.Scorer == nil {
+		return x.ScorerFingerprint
+	}
+	h := xxh3.New()
+	for _, text := range []string{x.Scorer.ID, x.Scorer.Host, x.Scorer.Path, string(x.Scorer.Body)} {
+		h.Write(binary.LittleEndian.AppendUint64(nil, uint64(len(text))))
+		h.WriteString(text)
+	}
+	return h.Sum64() | 1 // never zero
+}
+
 func (p *PartialResult) toProto() *batchlog.Part {
 	if p == nil {
 		return nil
 	}
-	return &batchlog.Part{Events: int64(p.Events), Chunks: p.Chunks, Lastid: p.LastEventID, Versions: p.Versions}
+	return &batchlog.Part{Events: int64(p.Events), Chunks: p.Chunks, Lastid: p.LastEventID, Versions: p.Versions, Whole: p.Whole}
 }
 
 func partialFromProto(w *batchlog.Part) *PartialResult {
 	if w == nil {
 		return nil
 	}
-	return &PartialResult{Events: int(w.Events), Chunks: w.Chunks, LastEventID: w.Lastid, Versions: w.Versions}
+	return &PartialResult{Events: int(w.Events), Chunks: w.Chunks, LastEventID: w.Lastid, Versions: w.Versions, Whole: w.Whole}
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -77,6 +77,14 @@
 	ConfigVersion uint64
 	// Raw is the request as received. Its headers are modified when a stream is resumed.
 	Raw *fasthttp.Request
+	// AttemptTimeout bounds every attempt. If it is zero, attemptTimeout bounds the
+	// attempts of an idempotent request but the last one.
+	AttemptTimeout time.Duration
+	// Avoid lists the servers at which the request has failed; failed attempts add to it.
+	// It may be nil.
+	Avoid map[string]bool
+	// Buffered makes a stream be read completely before the response is returned.
+	Buffered bool
 	// Disconnected reports whether the caller has closed its connection; nil disables the
 	// check.
 	Disconnected func() bool
@@ -122,7 +130,10 @@
 		stop()
 		cancel(nil)
 	}
-	s := &requestState{Request: r, start: time.Now(), avoid: map[string]bool{}}
+	s := &requestState{Request: r, start: time.Now(), avoid: r.Avoid}
+	if s.avoid == nil {
+		s.avoid = map[string]bool{}
+	}
 	a := f.do(ctx, s)
 	f.recordOutcome(s, a)
 	if a.Stream != nil {
@@ -222,7 +233,7 @@
 	s.lastServer = slot.ID
 	tryCtx, cancel := context.WithDeadline(ctx, f.attemptDeadline(s))
 	got, err := f.cfg.Client.Do(tryCtx, slot.Addr, f.request(s, slot), attempt.Options{
-		NewConnection: !s.Idempotent(), MaxBodyBytes: maxResponseBytes, CloseDelimited: true, Stream: true, StreamIf: isStream})
+		NewConnection: !s.Idempotent(), MaxBodyBytes: maxResponseBytes, CloseDelimited: true, Stream: !s.Buffered, StreamIf: isStream})
 	now := time.Now()
 	if err != nil {
 		cancel()
@@ -269,6 +280,9 @@
 // time that is left.
 func (f *Forwarder) attemptDeadline(s *requestState) time.Time {
 	end := s.Deadline.Add(-responseMargin)
+	if s.AttemptTimeout > 0 {
+		return s.capToDeadline(time.Now().Add(s.AttemptTimeout))
+	}
 	early := time.Now().Add(attemptTimeout)
 	if s.Idempotent() && !s.Route.Streaming && s.sent+1 < s.Route.MaxAttempts && early.Before(end) {
 		return early
--- a/internal/request/itemqueue/queue.go
+++ b/internal/request/itemqueue/queue.go
@@ -50,6 +50,20 @@
 	return &Queue{waiting: map[Key]*Item{}, running: map[Key]*Item{}, groups: map[groupKey]*group{}}
 }
 
+// Missing returns the number of items that the group of an item still waits for, including
+// running ones; zero if the item is unknown.
+func (q *Queue) Missing(k Key) int {
+	x := q.waiting[k]
+	if x == nil {
+		x = q.running[k]
+	}
+	if x == nil {
+		return 0
+	}
+	g := q.groups[x.group()]
+	return g.waiting + g.running
+}
+
 func (x *Item) group() groupKey {
 	if x.Group == "" {
 		return groupKey{x.Batch, "\x00" + x.Key.Item}
--- a/internal/request/itemrun/run.go
+++ b/internal/request/itemrun/run.go
@@ -73,6 +73,8 @@
 	LastEventID string
 	// Versions are the weight versions that produced the events, in order of first use.
 	Versions []uint64
+	// Complete is true once a stream has ended after its last event.
+	Complete bool
 }
 
 // Text returns the text of the item. Invalid UTF-8 is replaced, as the specification of
@@ -152,6 +154,7 @@
 	}
 	version, err := r.readEvents(a, p, b.MinVersion, onEvent)
 	a.Close(err == nil)
+	p.Complete = err == nil
 	res := Result{Outcome: Complete, Status: http.StatusOK}
 	var stale *staleWeightsError
 	switch {
