Give engines to models by their work, and let runs go on while weights load

Ruled out: capacity.

Change: runs continue under the new version, unless a route requires single versions. The store leader reports the expected work of each model's steps; the planner gives each model its share of the engines, two at least, and lets an engine follow several models where engines are few. The models that the smallest part of their engines can serve load first. At most a fifth of the engines, rounded, load at once (19 of 97).

--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -51,6 +51,9 @@
 	// Seq is a precondition: the number of orders that the engine must have accepted so
 	// far.
 	Seq uint64
+	// WaitForRuns makes the engine load after its runs have ended; until then it refuses
+	// requests of the model. Without it, the runs continue under the new version.
+	WaitForRuns bool
 }
 
 // ExternalCalls are the calls to backend servers and to the platform.
--- a/internal/process/director/leadership.go
+++ b/internal/process/director/leadership.go
@@ -154,13 +154,14 @@
 	return l.roster.All()
 }
 
-// minVersions returns the oldest weight versions that open steps allow, as reported by
-// the leader of the store group.
-func (l *leadership) minVersions(now time.Time) map[string]uint64 {
+// demand returns what trainers need of the engines, as far as the leader of the store group
+// has reported it.
+func (l *leadership) demand(published map[string]uint64, now time.Time) weights.Demand {
+	d := weights.Demand{Published: published}
 	if lead := l.storeLeader(now); lead != nil {
-		return lead.replica.Least
+		d.MinVersions, d.Work = lead.replica.Least, lead.replica.Work
 	}
-	return nil
+	return d
 }
 
 // voters returns the store hosts that store the batches, or all if the voters are
--- a/internal/process/director/tasks.go
+++ b/internal/process/director/tasks.go
@@ -129,9 +129,10 @@
 
 // orderWeights sends the weight orders that are due.
 func (s *Server) orderWeights(ctx context.Context, l *leadership, now time.Time) {
-	for _, order := range l.planner.Next(now, s.catalog.Public.Weights, l.minVersions(now), l.roster.Live()) {
+	wait := s.catalog.Public.Config.RequiresSingleVersions()
+	for _, order := range l.planner.Next(now, l.demand(s.catalog.Public.Weights, now), l.roster.Live()) {
 		seq, known := l.accepted[instanceKey{order.Instance.ID, order.Instance.Born}]
-		x := WeightOrder{Order: order, FencingToken: s.fencingToken(l), Seq: seq}
+		x := WeightOrder{Order: order, FencingToken: s.fencingToken(l), Seq: seq, WaitForRuns: wait}
 		go s.sendOrder(ctx, l, x, known)
 	}
 }
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -104,6 +104,8 @@
 	// endingRuns counts the runs of ended batches that were canceled and have not ended yet.
 	endingRuns map[partialKey]int
 	state      *feed.State
+	// work is the expected work of the models' steps.
+	work workEstimates
 	// tokenTime is the average run time per token of the callers' length estimates.
 	tokenTime time.Duration
 	// term is the term in which pending was built, zero while not the leader.
@@ -136,7 +138,7 @@
 
 func (d *driver) clear() {
 	d.queue, d.pending, d.preferred, d.partials, d.term = itemqueue.New(), map[itemqueue.Key]*pendingItem{}, map[string]string{}, newPartials(), 0
-	d.endingRuns, d.scores = map[partialKey]int{}, scorequeue.New()
+	d.endingRuns, d.scores, d.work = map[partialKey]int{}, scorequeue.New(), workEstimates{}
 }
 
 func (d *driver) wakeUp() {
@@ -265,6 +267,9 @@
 // applyChange queues the open items of a batch, or stops the items of an ended one. The
 // caller holds d.mu.
 func (d *driver) applyChange(e batchChange) {
+	if len(e.open) > 0 {
+		d.work.add(e.batch)
+	}
 	for i, item := range e.open {
 		k := itemqueue.Key{Batch: e.batch.ID, Item: item.ID}
 		if d.pending[k] != nil {
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -150,6 +150,7 @@
 	}
 	q.Replica.Whole = true
 	q.Replica.Least = s.driver.minVersions()
+	q.Replica.Work = s.driver.expectedWork(time.Now())
 	for _, id := range st.Members.Voters() {
 		q.Replica.Voters = append(q.Replica.Voters, uint64(id))
 		if id != st.ID && st.Match[id] < st.Commit {
--- a/internal/process/weights/assign.go
+++ b/internal/process/weights/assign.go
@@ -3,28 +3,52 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
+	"strings"
 
 	"github.com/plantainbank/plantainbank/internal/process/roster"
 )
 
-// assignModels assigns each ready engine a model to follow. An assignment changes only
-// while one model has at least two engines more than another.
-func (p *Planner) assignModels(published map[string]uint64, engines []roster.Instance) {
+const (
+	// minFollowers is the number of engines that follow a model in any case: while one of
+	// them loads the next version, the other one serves the steps.
+	minFollowers = 2
+	// shareSlack is the part of an engine's capacity by which the followers of a model may
+	// fall short of its share of the work before another engine follows it.
+	shareSlack = 0.15
+	// shareSurplus is the capacity, in engines, by which the followers of a model may exceed
+	// its share before an engine stops following it. It prevents flapping when steps differ
+	// in size.
+	shareSurplus = 1.25
+)
+
+// assignment spreads the models of which trainers have published a version over engines that
+// run the same models.
+type assignment struct {
+	p       *Planner
+	engines []roster.Instance
+	// models are the published models, those with the largest share first.
+	models []string
+	// share is the work of each model in engines: the shares add up to the engines.
+	share map[string]float64
+	// followers counts the engines that follow a model, inZone by availability zone.
+	followers map[string]int
+	inZone    map[string]map[string]int
+}
+
+// assignModels updates which models each ready engine follows.
+func (p *Planner) assignModels(d Demand, engines []roster.Instance) {
 	groups := map[string][]roster.Instance{}
 	for _, e := range engines {
 		if e.State == roster.Ready && len(e.Weights) > 0 {
-			models := slices.Sorted(maps.Keys(e.Weights))
-			key := ""
-			for _, m := range models {
-				key += m + "\x00"
-			}
+			key := strings.Join(slices.Sorted(maps.Keys(e.Weights)), "\x00")
 			groups[key] = append(groups[key], e)
 		}
 	}
 	p.removeStopped(engines)
 	for _, all := range groups {
-		p.assignGroup(published, all)
+		p.newAssignment(d, all).update()
 	}
 }
 
@@ -40,89 +64,145 @@
 	}
 }
 
-// engineCounts holds the number of engines assigned to each model, in total and by
-// availability zone.
-type engineCounts struct {
-	all    map[string]int
-	inZone map[string]map[string]int
-}
-
-func (c *engineCounts) add(model, zone string, n int) {
-	c.all[model] += n
-	if c.inZone[zone] == nil {
-		c.inZone[zone] = map[string]int{}
+func (p *Planner) newAssignment(d Demand, engines []roster.Instance) *assignment {
+	a := &assignment{p: p, engines: engines, share: map[string]float64{}, followers: map[string]int{}, inZone: map[string]map[string]int{}}
+	for m := range engines[0].Weights {
+		if d.Published[m] > 0 {
+			a.models = append(a.models, m)
+		}
 	}
-	c.inZone[zone][model] += n
-}
-
-// fewest returns the model with the fewest engines. Ties go to the model with the
-// fewest engines in the zone.
-func (c *engineCounts) fewest(models []string, zone string) string {
-	return slices.MinFunc(models, func(a, b string) int {
-		return cmp.Or(cmp.Compare(c.all[a], c.all[b]), cmp.Compare(c.inZone[zone][a], c.inZone[zone][b]), cmp.Compare(a, b))
-	})
+	a.computeShares(d.Work)
+	slices.SortFunc(a.models, func(x, y string) int { return cmp.Or(cmp.Compare(a.share[y], a.share[x]), cmp.Compare(x, y)) })
+	for _, e := range engines {
+		key := instanceKey{e.ID, e.Born}
+		p.assigned[key] = slices.DeleteFunc(p.assigned[key], func(m string) bool { return !slices.Contains(a.models, m) })
+		for _, m := range p.assigned[key] {
+			a.count(m, e.Zone, 1)
+		}
+	}
+	return a
 }
 
-// assignGroup spreads engines that run the same models over those models of which
-// trainers have published a version.
-func (p *Planner) assignGroup(published map[string]uint64, engines []roster.Instance) {
-	var models []string
-	for _, m := range slices.Sorted(maps.Keys(engines[0].Weights)) {
-		if published[m] > 0 {
-			models = append(models, m)
+// computeShares sets the share of each model. A model whose work is not known counts as an
+// average one.
+func (a *assignment) computeShares(work map[string]float64) {
+	total, known := 0.0, 0
+	for _, m := range a.models {
+		if work[m] > 0 {
+			total += work[m]
+			known++
+		}
+	}
+	average := 1.0
+	if known > 0 {
+		average = total / float64(known)
+	}
+	total += average * float64(len(a.models)-known)
+	for _, m := range a.models {
+		w := work[m]
+		if w <= 0 {
+			w = average
 		}
+		a.share[m] = w / total * float64(len(a.engines))
 	}
-	if len(models) == 0 {
+}
+
+func (a *assignment) update() {
+	if len(a.models) == 0 {
 		return
 	}
-	c := &engineCounts{map[string]int{}, map[string]map[string]int{}}
-	for _, e := range engines {
-		if m := p.assigned[instanceKey{e.ID, e.Born}]; slices.Contains(models, m) {
-			c.add(m, e.Zone, 1)
+	for _, m := range a.models {
+		for a.followers[m] > a.floor() && float64(a.followers[m])-a.share[m] > shareSurplus {
+			a.drop(a.mostLoaded(m), m)
 		}
 	}
-	for _, e := range engines {
-		key := instanceKey{e.ID, e.Born}
-		if m := p.assigned[key]; slices.Contains(models, m) {
-			continue
+	for _, m := range a.models {
+		for a.followers[m] < a.wanted(m) {
+			a.add(a.leastLoaded(m), m)
 		}
-		m := c.chooseModel(published, models, e, len(engines))
-		p.assigned[key] = m
-		c.add(m, e.Zone, 1)
 	}
-	p.rebalance(models, engines, c)
+	for _, e := range a.engines {
+		if len(a.modelsOf(e)) == 0 {
+			a.add(e, a.neediest(e))
+		}
+	}
+}
+
+// floor is the number of engines that follow a model in any case.
+func (a *assignment) floor() int { return min(minFollowers, len(a.engines)) }
+
+// wanted is the number of engines that should follow a model.
+func (a *assignment) wanted(m string) int {
+	return min(len(a.engines), max(a.floor(), int(math.Ceil(a.share[m]-shareSlack))))
+}
+
+func (a *assignment) count(m, zone string, n int) {
+	a.followers[m] += n
+	if a.inZone[zone] == nil {
+		a.inZone[zone] = map[string]int{}
+	}
+	a.inZone[zone][m] += n
+}
+
+func (a *assignment) modelsOf(e roster.Instance) []string {
+	return a.p.assigned[instanceKey{e.ID, e.Born}]
+}
+
+func (a *assignment) add(e roster.Instance, m string) {
+	key := instanceKey{e.ID, e.Born}
+	a.p.assigned[key] = append(a.p.assigned[key], m)
+	a.count(m, e.Zone, 1)
 }
 
-// chooseModel returns the model to assign to an engine without one. It prefers the model
-// whose weights on the engine are the least outdated, since the engine followed it under
-// an earlier leader. If that model already has its even share of the engines, or no model
-// is less outdated than the others, it returns the model with the fewest engines.
-func (c *engineCounts) chooseModel(published map[string]uint64, models []string, e roster.Instance, engines int) string {
-	newest := slices.MinFunc(models, func(a, b string) int {
-		return cmp.Or(cmp.Compare(published[a]-min(published[a], e.Weights[a]), published[b]-min(published[b], e.Weights[b])), cmp.Compare(a, b))
+func (a *assignment) drop(e roster.Instance, m string) {
+	key := instanceKey{e.ID, e.Born}
+	a.p.assigned[key] = slices.DeleteFunc(a.p.assigned[key], func(x string) bool { return x == m })
+	a.count(m, e.Zone, -1)
+}
+
+// load is the work that an engine gets if the followers of each model share its work evenly,
+// in halves of an engine.
+func (a *assignment) load(e roster.Instance) int {
+	sum := 0.0
+	for _, m := range a.modelsOf(e) {
+		sum += a.share[m] / float64(max(1, a.followers[m], a.wanted(m)))
+	}
+	return int(math.Round(2 * sum))
+}
+
+// leastLoaded returns the engine that should follow a model next. Among engines with the same
+// load it is the one whose weights of the model are the newest, since that engine
+// followed the model under an earlier leader.
+func (a *assignment) leastLoaded(m string) roster.Instance {
+	return slices.MinFunc(a.candidates(m, false), func(x, y roster.Instance) int {
+		return cmp.Or(cmp.Compare(a.load(x), a.load(y)), cmp.Compare(y.Weights[m], x.Weights[m]), cmp.Compare(a.inZone[x.Zone][m], a.inZone[y.Zone][m]),
+			cmp.Compare(x.ID, y.ID))
 	})
-	distinct := slices.ContainsFunc(models, func(m string) bool {
-		return m != newest && published[m]-min(published[m], e.Weights[m]) > published[newest]-min(published[newest], e.Weights[newest])
+}
+
+// mostLoaded returns the engine that should stop following a model.
+func (a *assignment) mostLoaded(m string) roster.Instance {
+	return slices.MaxFunc(a.candidates(m, true), func(x, y roster.Instance) int {
+		return cmp.Or(cmp.Compare(a.load(x), a.load(y)), cmp.Compare(y.Weights[m], x.Weights[m]), cmp.Compare(a.inZone[x.Zone][m], a.inZone[y.Zone][m]),
+			cmp.Compare(x.ID, y.ID))
 	})
-	if distinct && c.all[newest] < (engines+len(models)-1)/len(models) {
-		return newest
-	}
-	return c.fewest(models, e.Zone)
 }
 
-// rebalance moves engines from the model with the most engines to the one with the
-// fewest until they differ by at most one.
-func (p *Planner) rebalance(models []string, engines []roster.Instance, c *engineCounts) {
-	for {
-		most := slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(c.all[a], c.all[b]) })
-		least := slices.MinFunc(models, func(a, b string) int { return cmp.Compare(c.all[a], c.all[b]) })
-		if c.all[most]-c.all[least] < 2 {
-			return
+// candidates returns the engines that follow a model, or those that do not.
+func (a *assignment) candidates(m string, following bool) []roster.Instance {
+	var out []roster.Instance
+	for _, e := range a.engines {
+		if slices.Contains(a.modelsOf(e), m) == following {
+			out = append(out, e)
 		}
-		i := slices.IndexFunc(engines, func(e roster.Instance) bool { return p.assigned[instanceKey{e.ID, e.Born}] == most })
-		e := engines[i]
-		p.assigned[instanceKey{e.ID, e.Born}] = least
-		c.add(most, e.Zone, -1)
-		c.add(least, e.Zone, 1)
 	}
+	return out
+}
+
+// neediest returns the model that an engine without one should follow.
+func (a *assignment) neediest(e roster.Instance) string {
+	return slices.MaxFunc(a.models, func(x, y string) int {
+		return cmp.Or(cmp.Compare(a.share[x]/float64(a.followers[x]), a.share[y]/float64(a.followers[y])),
+			cmp.Compare(a.inZone[e.Zone][y], a.inZone[e.Zone][x]), cmp.Compare(y, x))
+	})
 }
--- a/internal/process/weights/weights.go
+++ b/internal/process/weights/weights.go
@@ -14,12 +14,19 @@
 // trainers then require 12 loads a second where 10 are possible; a fifth of the
 // engines are loading at any time, and every long item is blocked by a load.
 //
-// Several trainers share the engines. Each engine is assigned one model and follows its
-// versions; assignments are spread evenly over models and availability zones.
+// Several trainers share the engines. Each engine follows the versions of the models that it
+// is assigned. A model is followed by as many engines as its part of the work needs, and by
+// two at least, so that its steps run while one of them loads; where engines are few, an
+// engine follows several models. Assignments are spread over availability zones.
+//
+// Rejected alternative: one model on each engine, the same number for each model. With eight
+// trainers on ten engines a model had one engine, which served nothing while it loaded, and
+// the models with the longest items got a third of their work done beside idle engines.
 package weights
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -39,9 +46,9 @@
 	unknownTimeout = 2500 * time.Millisecond
 	// refusedRetryDelay is the delay before a refused order is repeated.
 	refusedRetryDelay = 400 * time.Millisecond
-	// maxLoadingFraction is the fraction of the engines that can load at once without
-	// slowing down each other's loads: 2 of 11, 10 of 48.
-	maxLoadingFraction = 0.21
+	// maxLoadingFraction is the fraction of the engines, rounded, that can load at once
+	// without slowing down each other's loads: 2 of 11, 10 of 48, 19 of 97.
+	maxLoadingFraction = 0.2
 	// maxLag is how many versions behind the newest one a step may run. Trainers that
 	// publish the next version while they collect a step allow one.
 	maxLag = 1
@@ -82,8 +89,8 @@
 // Planner plans and tracks the orders of one leader. It is not safe for concurrent use.
 type Planner struct {
 	pending map[string]*pendingOrder
-	// assigned holds the model that each engine follows.
-	assigned map[instanceKey]string
+	// assigned holds the models that each engine follows.
+	assigned map[instanceKey][]string
 	// newest holds the latest version of each model and when it was first seen.
 	newest map[string]versionSeen
 }
@@ -114,18 +121,28 @@
 
 // New returns a planner without orders.
 func New() *Planner {
-	return &Planner{pending: map[string]*pendingOrder{}, assigned: map[instanceKey]string{}, newest: map[string]versionSeen{}}
+	return &Planner{pending: map[string]*pendingOrder{}, assigned: map[instanceKey][]string{}, newest: map[string]versionSeen{}}
+}
+
+// Demand is what trainers need of the engines, by model.
+type Demand struct {
+	// Published holds the latest versions.
+	Published map[string]uint64
+	// MinVersions holds the oldest versions that open steps allow.
+	MinVersions map[string]uint64
+	// Work holds the expected work of a step, in any unit; models without it count as
+	// average.
+	Work map[string]float64
 }
 
-// Next returns the orders that are due and records them as given. published holds the
-// latest version of each model, minVersions the oldest one that open steps allow.
-func (p *Planner) Next(now time.Time, published, minVersions map[string]uint64, engines []roster.Instance) []Order {
+// Next returns the orders that are due and records them as given.
+func (p *Planner) Next(now time.Time, d Demand, engines []roster.Instance) []Order {
 	p.clearPending(now, engines)
-	p.recordVersions(now, published)
-	free := max(minParallel, int(maxLoadingFraction*float64(loadable(engines)))) - p.loadingCount(now)
+	p.recordVersions(now, d.Published)
+	free := max(minParallel, int(math.Round(maxLoadingFraction*float64(loadable(engines))))) - p.loadingCount(now)
 	var out []Order
-	p.assignModels(published, engines)
-	for _, o := range p.outdated(now, published, minVersions, engines) {
+	p.assignModels(d, engines)
+	for _, o := range p.outdated(now, d, engines) {
 		if len(out) >= free {
 			break
 		}
@@ -148,29 +165,46 @@
 	}
 }
 
-// outdated returns the orders that bring engines to the newest version of their
-// assigned model, engines with the oldest versions first.
-func (p *Planner) outdated(now time.Time, published, minVersions map[string]uint64, engines []roster.Instance) []Order {
+// outdated returns the orders that bring engines to the newest versions of the models that
+// they follow. The models that the smallest part of their followers can serve come first, then
+// the engines with the oldest versions.
+func (p *Planner) outdated(now time.Time, d Demand, engines []roster.Instance) []Order {
 	followers := map[string][]roster.Instance{}
 	for _, e := range engines {
-		model := p.assigned[instanceKey{e.ID, e.Born}]
-		if _, ok := e.Weights[model]; ok && e.State == roster.Ready {
-			followers[model] = append(followers[model], e)
+		for _, model := range p.assigned[instanceKey{e.ID, e.Born}] {
+			if _, ok := e.Weights[model]; ok && e.State == roster.Ready {
+				followers[model] = append(followers[model], e)
+			}
 		}
 	}
 	var out []Order
+	serving := map[string]float64{}
 	for model, all := range followers {
-		for _, e := range enginesToLoad(model, all, published[model], p.loadThreshold(now, model, published[model], minVersions[model])) {
-			out = append(out, Order{e, model, published[model]})
+		threshold := p.loadThreshold(now, model, d.Published[model], d.MinVersions[model])
+		serving[model] = servingFraction(model, all, threshold)
+		for _, e := range enginesToLoad(model, all, d.Published[model], threshold) {
+			out = append(out, Order{e, model, d.Published[model]})
 		}
 	}
 	slices.SortFunc(out, func(a, b Order) int {
-		x := cmp.Compare(a.Instance.Weights[a.Model], b.Instance.Weights[b.Model])
-		return cmp.Or(x, cmp.Compare(a.Instance.ID, b.Instance.ID), cmp.Compare(a.Model, b.Model))
+		return cmp.Or(cmp.Compare(serving[a.Model], serving[b.Model]), cmp.Compare(a.Model, b.Model),
+			cmp.Compare(a.Instance.Weights[a.Model], b.Instance.Weights[b.Model]), cmp.Compare(a.Instance.ID, b.Instance.ID))
 	})
 	return out
 }
 
+// servingFraction returns the fraction of the followers of a model that have a version of at
+// least threshold.
+func servingFraction(model string, followers []roster.Instance, threshold uint64) float64 {
+	n := 0
+	for _, e := range followers {
+		if e.Weights[model] >= threshold {
+			n++
+		}
+	}
+	return float64(n) / float64(len(followers))
+}
+
 // enginesToLoad returns the engines that should load the newest version of a model:
 // those below the given threshold, and as many others as are needed for half of the
 // engines to have the newest version. The other half then remains to load the next
--- a/internal/version/routing/config.go
+++ b/internal/version/routing/config.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind is the kind of a route: whether its requests may be repeated, and when they run.
 type Kind string
@@ -25,6 +28,12 @@
 	Limits     Limits      `json:"limits"`
 }
 
+// RequiresSingleVersions reports whether any route requires that one weight version produces
+// all of a result.
+func (c *Config) RequiresSingleVersions() bool {
+	return c != nil && slices.ContainsFunc(c.Routes, func(r Route) bool { return r.SingleVersion })
+}
+
 // Route sends the requests of one host and path prefix to services.
 type Route struct {
 	Name string `json:"name"`
