Move stalled runs, and run long items on the fastest engines

Change: a run without an event for four times its pace (200 ms at least) and with a second of work left moves to an engine with a free slot; any run does after 650 ms, which then counts against the engine. An item that is expected to take 0.3 of the time its step has left goes to the fastest engine.

--- a/internal/connection/placement/table.go
+++ b/internal/connection/placement/table.go
@@ -41,6 +41,8 @@
 	// connectCost of 0.3 the noise in the measured paces spread the calls of a host
 	// over all servers, each call over a new connection.
 	crossZoneCost, connectCost = 0.4, 1.0
+	// fastLoadCost is the part by which each running request makes another one slower.
+	fastLoadCost = 0.02
 	// coldMargin is added to a cold period, because the clocks of hosts differ.
 	coldMargin = 400 * time.Millisecond
 )
@@ -178,6 +180,9 @@
 	Prefer string
 	// Avoid lists the servers at which the request has failed.
 	Avoid map[string]bool
+	// Fast prefers the fastest server: the request takes most of the time that is left for
+	// it, and its duration depends far more on the server's pace than on its load.
+	Fast bool
 	// Strict excludes servers whose slots are all in use. Without it the server
 	// with the lowest cost gets the request even if it is full.
 	Strict bool
@@ -227,6 +232,9 @@
 			continue
 		}
 		cost := t.cost(s, median, now)
+		if req.Fast {
+			cost = s.relativePace(median) + fastLoadCost*float64(s.running)
+		}
 		if best == nil || cost < least || cost == least && s.ID < best.ID {
 			best, least = s, cost
 		}
@@ -234,7 +242,7 @@
 			preferred, preferredCost = s, cost
 		}
 	}
-	if preferred != nil && preferredCost <= least+preferSlack {
+	if preferred != nil && !req.Fast && preferredCost <= least+preferSlack {
 		return preferred
 	}
 	return best
@@ -267,6 +275,18 @@
 	return false
 }
 
+// Available reports whether any server may get a request now.
+func (t *Table) Available(req Requirement, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.servers {
+		if t.eligible(s, req, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Slots returns the number of slots of the servers of a service that can take requests now.
 func (t *Table) Slots(service string, now time.Time) int {
 	t.mu.Lock()
@@ -281,10 +301,7 @@
 }
 
 func (t *Table) cost(s *server, median time.Duration, now time.Time) float64 {
-	relative := 1.0
-	if s.pace > 0 && median > 0 {
-		relative = min(maxRelativePace, max(minRelativePace, float64(s.pace)/float64(median)))
-	}
+	relative := s.relativePace(median)
 	running := s.running
 	if now.Sub(s.reportedAt) < loadReportTTL {
 		running = max(running, s.reportedLoad)
@@ -299,6 +316,15 @@
 	return cost
 }
 
+// relativePace returns the pace of a server as a multiple of the median, within bounds; 1 if
+// it is not known.
+func (s *server) relativePace(median time.Duration) float64 {
+	if s.pace == 0 || median == 0 {
+		return 1
+	}
+	return min(maxRelativePace, max(minRelativePace, float64(s.pace)/float64(median)))
+}
+
 // loadReportTTL is how long a load that a server has reported is used.
 const loadReportTTL = 300 * time.Millisecond
 
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -69,6 +69,9 @@
 	failures, runs, moves int
 	avoid                 map[string]bool
 	cancel                context.CancelCauseFunc
+	// slot is the slot of the current run; pulse is written by the run.
+	slot  placement.Slot
+	pulse pulse
 }
 
 // reset discards the progress of earlier runs.
@@ -168,6 +171,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			d.moveStalled(time.Now())
 		case <-d.wake:
 			time.Sleep(dispatchDelay)
 		}
@@ -373,7 +377,7 @@
 	}
 	group := w.batch.ID + " " + w.item.Group
 	req := placement.Requirement{Service: w.service, Model: w.batch.Model, MinVersion: w.batch.MinVersion, Prefer: d.preferred[group],
-		Avoid: w.avoid, Strict: true}
+		Avoid: w.avoid, Strict: true, Fast: d.isLong(w, now)}
 	if route.SingleVersion && len(w.progress.Versions) > 0 {
 		w.reset()
 	}
@@ -387,7 +391,8 @@
 	w.runs++
 	d.queue.Start(k)
 	runCtx, cancel := context.WithCancelCause(ctx)
-	w.cancel, w.running = cancel, true
+	w.cancel, w.running, w.slot = cancel, true, slot
+	w.pulse.begin(now)
 	d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "instance": slot.ID, "prefer": req.Prefer,
 		"running": slot.Running, "roster": d.state.Roster, "run": w.runs, "events": w.progress.Events}).Debug("run started")
 	req.Avoid = nil
--- a/internal/process/store/pace.go
+++ b/internal/process/store/pace.go
@@ -14,6 +14,8 @@
 	paceEvents = 6
 	// paceWeight is the weight of one event in the moving average of a run.
 	paceWeight = 0.3
+	// longFraction is the fraction of the time left for a step above which an item is long.
+	longFraction = 0.3
 	// maxMoves bounds how often an item is moved away from slow engines.
 	maxMoves = 4
 )
@@ -38,6 +40,14 @@
 	return time.Duration(item.LengthHint) * d.tokenTime
 }
 
+// isLong reports whether an item is expected to take a large part of the time that its step
+// has left, so that the pace of its engine decides whether it is complete in time. The caller
+// holds d.mu.
+func (d *driver) isLong(w *pendingItem, now time.Time) bool {
+	left := w.batch.DueTime().Sub(now)
+	return d.expectedTime(w.item) > time.Duration(longFraction*float64(left))
+}
+
 // updateTokenTime updates the average time per token from an item that was completed by
 // its first run.
 func (d *driver) updateTokenTime(w *pendingItem, took time.Duration) {
@@ -76,7 +86,9 @@
 // on another engine. It is called after each event, on the goroutine of the run.
 func (d *driver) watchPace(p *paceTracker, w *pendingItem, slot placement.Slot, req placement.Requirement) {
 	now := time.Now()
-	if !p.observe(now) {
+	report := p.observe(now)
+	w.pulse.beat(now, p.mean)
+	if !report {
 		return
 	}
 	d.table.RecordPace(slot, p.mean)
--- a/internal/process/store/run.go
+++ b/internal/process/store/run.go
@@ -24,7 +24,7 @@
 	w.cancel(nil)
 	d.releaseSlot(slot, w, res)
 	d.runEnded(k, w)
-	slow := errors.Is(res.Err, errSlow)
+	slow := errors.Is(res.Err, errSlow) || errors.Is(res.Err, errStalled) || errors.Is(res.Err, errSilent)
 	if res.Outcome != itemrun.Complete && (res.Outcome != itemrun.Stopped || slow) {
 		d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "instance": slot.ID, "end": string(res.Outcome),
 			"status": res.Status, "events": w.progress.Events, "runs": w.runs, "took_ms": res.Duration.Milliseconds()}).
@@ -94,6 +94,9 @@
 		outcome = placement.ConnectFailed
 	case itemrun.Stopped:
 		outcome = placement.Abandoned
+		if errors.Is(res.Err, errSilent) {
+			outcome = placement.Interrupted
+		}
 	}
 	if res.Version > 0 && w.batch.Model != "" {
 		d.table.RecordVersion(slot, w.batch.Model, res.Version, res.Outcome == itemrun.Stale)
