Bound every read from a backend server in bytes and in time without progress

On a site a 503 or 504 that the engine does not declare as not run used up an item's attempts, so the item could become dead without an answer of 500.

Bodies that are being received share a tenth of the process's memory; a body over its bound fails.

--- a/internal/connection/dial/dial.go
+++ b/internal/connection/dial/dial.go
@@ -52,9 +52,15 @@
 	return inner
 }
 
-// NewClient returns a client for backend servers.
-func NewClient() *attempt.Client {
+// bufferedFraction is the fraction of a process's memory for bodies of backend servers that
+// are being received.
+const bufferedFraction = 0.1
+
+// NewClient returns a client for backend servers, for a process with the given memory limit in
+// megabytes.
+func NewClient(memoryMB int) *attempt.Client {
 	c := attempt.NewClient()
+	c.MaxBufferedBytes = int64(bufferedFraction * float64(memoryMB) * (1 << 20))
 	d := New()
 	c.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp4", addr) }
 	return c
--- a/internal/process/store/run.go
+++ b/internal/process/store/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -40,7 +41,9 @@
 	case itemrun.Unprocessable:
 		d.commitResult(ctx, k, w, batch.Result{Item: k.Item, State: batch.Dead}, "engine rejected it as unprocessable")
 	case itemrun.Failed:
-		w.failures++
+		if res.Status == http.StatusInternalServerError {
+			w.failures++
+		}
 		if d.exhausted(w) {
 			d.commitResult(ctx, k, w, batch.Result{Item: k.Item, State: batch.Dead}, "all attempts failed")
 			return
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -14,9 +14,13 @@
 	"github.com/plantainbank/plantainbank/pkg/request/attempt"
 )
 
-// gapTimeout bounds the time without a byte of a caller's stream; the server may load
-// weights between two events. Callers disconnect after 2 s.
-const gapTimeout = 2 * time.Second
+const (
+	// gapTimeout bounds the time between two events of a caller's stream; the server may
+	// load weights between them. Callers disconnect after 2 s.
+	gapTimeout = 2 * time.Second
+	// maxEventBytes is the maximum number of bytes from one event to the next, with framing.
+	maxEventBytes = 1 << 20
+)
 
 // Stream forwards the events of a server as they arrive. Only complete events are
 // forwarded, so that a broken stream can resume at another server after the last one.
@@ -56,7 +60,7 @@
 
 // copyFromServer forwards the events of the current server.
 func (x *Stream) copyFromServer(w *bufio.Writer) error {
-	x.response.SetIdleTimeout(gapTimeout)
+	x.response.Expect(maxEventBytes, gapTimeout)
 	br := bufio.NewReader(x.response.Body)
 	for {
 		event, id, err := readEvent(br)
@@ -65,9 +69,14 @@
 			return nil
 		}
 		if err != nil {
-			x.endAttempt(placement.Interrupted)
+			outcome := placement.Interrupted
+			if x.ctx.Err() != nil {
+				outcome = placement.Abandoned // the caller has left
+			}
+			x.endAttempt(outcome)
 			return err
 		}
+		x.response.Expect(maxEventBytes, gapTimeout)
 		if _, err := w.Write(event); err != nil {
 			x.endAttempt(placement.Abandoned)
 			return ErrDisconnected
--- a/internal/request/itemrun/run.go
+++ b/internal/request/itemrun/run.go
@@ -27,10 +27,13 @@
 	// at once. Before this timeout existed, an unresponsive engine cost an item 3 s of the
 	// 7.5 s that its step has.
 	firstByteTimeout = 1200 * time.Millisecond
-	// gapTimeout bounds the time without a byte between two events. An event takes about
+	// gapTimeout bounds the time between two events. An event takes about
 	// 45 ms, on a slow engine 200 ms; the engine may load weights between two events, which
 	// takes 0.9 s.
 	gapTimeout = 1500 * time.Millisecond
+	// maxEventBytes is the maximum number of bytes from one event to the next, with comments
+	// and framing.
+	maxEventBytes = 2 << 20
 	// maxRefusalBytes is the maximum size of the body of a refusal.
 	maxRefusalBytes = 64 << 10
 )
@@ -218,7 +221,7 @@
 // readEvents adds the events of a stream to p and returns the weight version of the last
 // one. If the engine's weights are too old it returns before the first event.
 func (r *Runner) readEvents(a *attempt.Response, p *Progress, minVersion uint64, onEvent func()) (version uint64, err error) {
-	a.SetIdleTimeout(gapTimeout)
+	a.Expect(maxEventBytes, gapTimeout)
 	version, err = strconv.ParseUint(string(a.Response.Header.Peek(r.Headers.WeightVersion)), 10, 64)
 	if err != nil {
 		return 0, errors.New("engine does not report a valid weight version")
@@ -238,6 +241,7 @@
 		if e.version != 0 {
 			version = e.version
 		}
+		a.Expect(maxEventBytes, gapTimeout)
 		p.add(e, version)
 		onEvent()
 	}
--- a/internal/request/itemrun/run_test.go
+++ b/internal/request/itemrun/run_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/plantainbank/plantainbank/internal/connection/httpheader"
 	"github.com/plantainbank/plantainbank/internal/connection/placement"
@@ -190,6 +191,55 @@
 	}
 }
 
+// TestEndlessStreamEndsTheRun sends bytes without an end that are no event, at full speed and
+// one line at a time: the run must end, and resume after its last event.
+func TestEndlessStreamEndsTheRun(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Versions: 3\r\nConnection: close\r\n\r\nid: 1\ndata: a\n\n"
+	for _, c := range []struct {
+		name, more string
+		pause      time.Duration
+	}{
+		{"line without an end", "data", 0},
+		{"lines of data", "data: b\n", 0},
+		{"comments", ": here\n", 0},
+		{"slow comments", ": here\n", 100 * time.Millisecond},
+		{"slow bytes", "x", 100 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			addr := startEndless(t, head, c.more, c.pause)
+			p := &Progress{}
+			if res := run(t, addr, p); res.Outcome != Interrupted || p.Text() != "a" {
+				t.Fatalf("got %+v, %q", res, p.Text())
+			}
+		})
+	}
+}
+
+// startEndless serves one connection with head, and then more until it is closed.
+func startEndless(t *testing.T, head, more string, pause time.Duration) (addr string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { lis.Close() })
+	go func() {
+		c, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		for _, err = io.WriteString(c, head); err == nil; _, err = io.WriteString(c, more) {
+			time.Sleep(pause)
+		}
+	}()
+	return lis.Addr().String()
+}
+
 func TestStoppedRun(t *testing.T) {
 	block := make(chan struct{})
 	defer close(block)
--- a/pkg/request/attempt/attempt.go
+++ b/pkg/request/attempt/attempt.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -69,8 +70,12 @@
 // Client sends requests to backend servers and pools idle connections.
 type Client struct {
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
-	mu   sync.Mutex
-	idle map[string][]*conn
+	// MaxBufferedBytes bounds the bodies that are being received at one time, over all
+	// requests; zero means no bound. A response over it fails.
+	MaxBufferedBytes int64
+	buffered         atomic.Int64
+	mu               sync.Mutex
+	idle             map[string][]*conn
 }
 
 type conn struct {
@@ -82,14 +87,35 @@
 	maxIdle time.Duration
 	// idleTimeout bounds each read and write; zero means no timeout.
 	idleTimeout time.Duration
+	// left is the number of bytes that may be read before the next progress of a response,
+	// until the time by which that progress must be made; zero means no deadline.
+	left  int64
+	until time.Time
 }
 
-// Read reads within idleTimeout.
+// expect bounds what is read until the next progress of a response.
+func (x *conn) expect(bytes int64, timeout time.Duration) {
+	x.left, x.until = bytes, time.Time{}
+	if timeout > 0 {
+		x.until = time.Now().Add(timeout)
+	}
+}
+
+// Read reads within idleTimeout and the bounds of the next progress.
 func (x *conn) Read(p []byte) (int, error) {
-	if err := x.Conn.SetReadDeadline(x.ioDeadline()); err != nil {
+	if x.left <= 0 {
+		return 0, errNoProgress
+	}
+	deadline := x.ioDeadline()
+	if !x.until.IsZero() && (deadline.IsZero() || x.until.Before(deadline)) {
+		deadline = x.until
+	}
+	if err := x.Conn.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
-	return x.Conn.Read(p)
+	n, err := x.Conn.Read(p[:min(int64(len(p)), x.left)])
+	x.left -= int64(n)
+	return n, err
 }
 
 // Write writes within idleTimeout.
@@ -202,8 +228,13 @@
 	release func(complete bool)
 }
 
-// SetIdleTimeout sets the longest time without any byte of a streamed response.
-func (a *Response) SetIdleTimeout(d time.Duration) { a.conn.idleTimeout = d }
+// Expect bounds a streamed response until the next call: its body ends with an error once that
+// many further bytes were received or the timeout has passed. It is called after each event, so
+// that bytes without an event end the stream.
+func (a *Response) Expect(bytes int64, timeout time.Duration) {
+	a.conn.idleTimeout = timeout
+	a.conn.expect(bytes, timeout)
+}
 
 // Close releases the connection. complete reports whether the response was read to
 // its end: if so, the connection returns to the idle pool, otherwise it is closed.
@@ -223,9 +254,12 @@
 	Stream bool
 	// StreamIf limits Stream to the responses for which it returns true; nil means all.
 	StreamIf func(*fasthttp.ResponseHeader) bool
-	// IdleTimeout is the longest time without any byte of the response.
+	// IdleTimeout is the longest time without any byte of the response. It also bounds the
+	// time to receive the header, and after that a body that is not streamed; zero means no
+	// timeout.
 	IdleTimeout time.Duration
-	// MaxBodyBytes bounds the body of a response that is not streamed.
+	// MaxBodyBytes bounds the body of a response that is not streamed; zero means
+	// defaultMaxBody.
 	MaxBodyBytes int
 	// CloseDelimited allows a body that ends with its connection. Such a body
 	// is complete only after a clean close, not after a reset.
@@ -276,6 +310,10 @@
 	if err := x.bw.Flush(); err != nil {
 		return nil, &Error{Phase: "send", Ran: RanUnknown, Broken: true, Err: err}
 	}
+	if o.MaxBodyBytes == 0 {
+		o.MaxBodyBytes = defaultMaxBody
+	}
+	x.expect(maxHeadBytes, o.IdleTimeout)
 	res := &fasthttp.Response{SkipBody: req.Header.IsHead(), StreamBody: o.Stream}
 	if err := readHeader(res, x.br); err != nil {
 		return nil, &Error{Phase: "receive", Ran: RanUnknown, Broken: true, Err: err}
@@ -283,7 +321,8 @@
 	if o.Stream && o.StreamIf != nil && !o.StreamIf(&res.Header) {
 		o.Stream, res.StreamBody = false, false
 	}
-	if err := readBody(res, x.br, o); err != nil {
+	x.expect(framingFactor*int64(o.MaxBodyBytes)+maxHeadBytes, o.IdleTimeout)
+	if err := c.readBody(res, x.br, o); err != nil {
 		return nil, &Error{Phase: "answer", Ran: RanYes, Broken: broken(err), Err: err}
 	}
 	a := &Response{Response: res, conn: x}
@@ -299,45 +338,6 @@
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
 }
 
-// readBody reads the complete body, or sets it up as a stream.
-func readBody(res *fasthttp.Response, br *bufio.Reader, o Options) error {
-	if res.SkipBody || hasNoBody(res.StatusCode()) {
-		return nil
-	}
-	if res.Header.ContentLength() == closeDelimited {
-		return readCloseDelimited(res, br, o)
-	}
-	if err := res.ReadBody(br, o.MaxBodyBytes); err != nil {
-		return err
-	}
-	if o.Stream || res.Header.ContentLength() != chunked {
-		return nil
-	}
-	err := res.Header.ReadTrailer(br)
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
-// readCloseDelimited reads a body up to the end of the connection.
-func readCloseDelimited(res *fasthttp.Response, br *bufio.Reader, o Options) error {
-	if !o.CloseDelimited {
-		return errCloseDelimited
-	}
-	res.SetConnectionClose()
-	if o.Stream {
-		res.SetBodyStream(br, closeDelimited)
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(br, int64(o.MaxBodyBytes)))
-	if err != nil {
-		return err
-	}
-	res.SetBodyRaw(body)
-	return nil
-}
-
 // keepAlive returns how long a connection may stay idle: the timeout of the
 // Keep-Alive header less keepAliveMargin, or maxIdleTime without one.
 func keepAlive(res *fasthttp.Response) time.Duration {
@@ -349,28 +349,3 @@
 	}
 	return maxIdleTime
 }
-
-// readHeader reads the header of the final response and skips informational ones.
-func readHeader(res *fasthttp.Response, br *bufio.Reader) error {
-	for {
-		if err := res.Header.Read(br); err != nil {
-			return err
-		}
-		if res.StatusCode() >= fasthttp.StatusOK {
-			return nil
-		}
-	}
-}
-
-// Values that fasthttp returns as the content length of a body of unknown length.
-const (
-	chunked = -1
-	// closeDelimited bodies end with the connection.
-	closeDelimited = -2
-)
-
-var errCloseDelimited = errors.New("response has neither a length nor chunked encoding: its end cannot be distinguished from a lost connection")
-
-func hasNoBody(status int) bool {
-	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
-}
--- a/pkg/request/attempt/generate.go
+++ b/pkg/request/attempt/generate.go
@@ -109,7 +109,7 @@
 		a.Close(false)
 		return "", statusError(status)
 	}
-	reason, err = readEvents(a.Body, g, onToken)
+	reason, err = readEvents(a, g, onToken)
 	complete := err == nil && atEOF(a.Body)
 	a.Close(complete)
 	if err != nil {
@@ -136,10 +136,11 @@
 }
 
 // readEvents reads server-sent events up to the terminal one.
-func readEvents(r io.Reader, g GenerationRequest, onToken func(Event) error) (reason string, err error) {
-	sc := bufio.NewScanner(r)
+func readEvents(a *Response, g GenerationRequest, onToken func(Event) error) (reason string, err error) {
+	sc := bufio.NewScanner(a.Body)
 	sc.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	next := g.Offset
+	a.Expect(2*maxEventBytes, tokenIdleTimeout)
 	for sc.Scan() {
 		data, ok := bytes.CutPrefix(sc.Bytes(), []byte("data: "))
 		if !ok {
@@ -159,6 +160,7 @@
 			return "", fmt.Errorf("got token index %d, want %d", e.Index, next)
 		}
 		next++
+		a.Expect(2*maxEventBytes, tokenIdleTimeout)
 		if err := onToken(e); err != nil {
 			return "", err
 		}
--- a/pkg/request/dispatch/dispatch.go
+++ b/pkg/request/dispatch/dispatch.go
@@ -175,12 +175,13 @@
 func outcomeOf(ctx context.Context, err error) backendserver.Outcome {
 	var busy *attempt.BusyError
 	var e *attempt.Error
+	var caller *callerError
 	switch {
 	case err == nil:
 		return backendserver.Served
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.As(err, &caller):
 		return backendserver.Abandoned
-	case errors.As(err, &busy):
+	case errors.As(err, &busy) && errors.As(err, &e) && e.Ran == attempt.RanNo:
 		return backendserver.Refused
 	case errors.As(err, &e) && e.Broken:
 		return backendserver.ConnectionLost
