Pack models onto engines by load

Change: an engine that shall follow a model is chosen by the loads that result if each model's items go to those of its followers that have the least to do; an engine over 1.1 gives a model to one with spare time, as far as loads allow. Assignments are made again only when engines, models or work have changed.

--- a/internal/process/weights/assign.go
+++ b/internal/process/weights/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -21,6 +22,19 @@
 	// its share before an engine stops following it. It prevents flapping when steps differ
 	// in size.
 	shareSurplus = 1.25
+	// fullLoad is the load above which an engine gives work away, and spareLoad the load below
+	// which another one takes it, in engines.
+	fullLoad, spareLoad = 1.1, 0.95
+	// workSteps is the number of steps, by a factor of e, in which a change of a model's work
+	// is noticed: a twentieth.
+	workSteps = 20
+	// followsPerLoad is how many models engines may follow for each load that may run at one
+	// time: in a step of 4 s there is time for four loads, and an engine loads every second
+	// version of a model.
+	followsPerLoad = 8
+	// shareParts is the number of parts in which the share of a model is placed to compute
+	// loads, fillRounds how often all shares are placed again.
+	shareParts, fillRounds = 12, 3
 )
 
 // assignment spreads the models of which trainers have published a version over engines that
@@ -47,9 +61,27 @@
 		}
 	}
 	p.removeStopped(engines)
-	for _, all := range groups {
-		p.newAssignment(d, all).update()
+	for key, all := range groups {
+		if s := signature(d, all); p.signatures[key] != s {
+			p.newAssignment(d, all).update()
+			p.signatures[key] = s
+		}
+	}
+}
+
+// signature returns a text that changes when the engines of a group, the published models or
+// the work change enough to assign the models again.
+func signature(d Demand, engines []roster.Instance) string {
+	var out strings.Builder
+	for _, m := range slices.Sorted(maps.Keys(engines[0].Weights)) {
+		if d.Published[m] > 0 {
+			fmt.Fprintf(&out, "%s %d\n", m, int(math.Round(workSteps*math.Log1p(d.Work[m]))))
+		}
+	}
+	for _, e := range engines {
+		fmt.Fprintf(&out, "%s %d\n", e.ID, e.Born)
 	}
+	return out.String()
 }
 
 func (p *Planner) removeStopped(engines []roster.Instance) {
@@ -126,6 +158,77 @@
 			a.add(e, a.neediest(e))
 		}
 	}
+	for total := a.total(); total < a.maxTotal() && a.relieve(); total++ {
+	}
+}
+
+// total is the number of models that the engines follow, over all engines.
+func (a *assignment) total() int {
+	n := 0
+	for _, m := range a.models {
+		n += a.followers[m]
+	}
+	return n
+}
+
+// maxTotal is the total for which the engines can load the versions in time.
+func (a *assignment) maxTotal() int { return followsPerLoad * parallelLoads(len(a.engines)) }
+
+// relieve lets an engine with spare time follow a model of the busiest engine, and reports
+// whether it did.
+func (a *assignment) relieve() bool {
+	load, placed := a.fill()
+	busiest := slices.MaxFunc(a.engines, func(x, y roster.Instance) int {
+		return cmp.Or(cmp.Compare(load[x.ID], load[y.ID]), cmp.Compare(y.ID, x.ID))
+	})
+	if load[busiest.ID] < fullLoad {
+		return false
+	}
+	models := slices.Clone(a.modelsOf(busiest))
+	slices.SortFunc(models, func(x, y string) int {
+		return cmp.Or(cmp.Compare(placed[y][busiest.ID], placed[x][busiest.ID]), cmp.Compare(x, y))
+	})
+	for _, m := range models {
+		if float64(a.followers[m]+1)-a.share[m] > shareSurplus {
+			continue
+		}
+		others := a.candidates(m, false)
+		if len(others) == 0 {
+			continue
+		}
+		e := slices.MinFunc(others, func(x, y roster.Instance) int {
+			return cmp.Or(cmp.Compare(load[x.ID], load[y.ID]), cmp.Compare(x.ID, y.ID))
+		})
+		if load[e.ID] < spareLoad {
+			a.add(e, m)
+			return true
+		}
+	}
+	return false
+}
+
+// fill returns the load of each engine, by ID, if the work of each model goes to those of its
+// followers that have the least to do, and the part of it that each model places there.
+func (a *assignment) fill() (load map[string]float64, placed map[string]map[string]float64) {
+	load, placed = map[string]float64{}, map[string]map[string]float64{}
+	for range fillRounds {
+		for _, m := range a.models {
+			for id, x := range placed[m] {
+				load[id] -= x
+			}
+			placed[m] = map[string]float64{}
+			followers := a.candidates(m, true)
+			parts := shareParts * len(followers)
+			for range parts {
+				e := slices.MinFunc(followers, func(x, y roster.Instance) int {
+					return cmp.Or(cmp.Compare(load[x.ID], load[y.ID]), cmp.Compare(x.ID, y.ID))
+				})
+				load[e.ID] += a.share[m] / float64(parts)
+				placed[m][e.ID] += a.share[m] / float64(parts)
+			}
+		}
+	}
+	return load, placed
 }
 
 // floor is the number of engines that follow a model in any case.
@@ -160,30 +263,26 @@
 	a.count(m, e.Zone, -1)
 }
 
-// load is the work that an engine gets if the followers of each model share its work evenly,
-// in halves of an engine.
-func (a *assignment) load(e roster.Instance) int {
-	sum := 0.0
-	for _, m := range a.modelsOf(e) {
-		sum += a.share[m] / float64(max(1, a.followers[m], a.wanted(m)))
-	}
-	return int(math.Round(2 * sum))
-}
+// level rounds a load to fifths of an engine, so that other reasons decide between engines that
+// have about the same to do.
+func level(load float64) int { return int(math.Round(5 * load)) }
 
 // leastLoaded returns the engine that should follow a model next. Among engines with the same
 // load it is the one whose weights of the model are the newest, since that engine
 // followed the model under an earlier leader.
 func (a *assignment) leastLoaded(m string) roster.Instance {
+	load, _ := a.fill()
 	return slices.MinFunc(a.candidates(m, false), func(x, y roster.Instance) int {
-		return cmp.Or(cmp.Compare(a.load(x), a.load(y)), cmp.Compare(y.Weights[m], x.Weights[m]), cmp.Compare(a.inZone[x.Zone][m], a.inZone[y.Zone][m]),
+		return cmp.Or(cmp.Compare(level(load[x.ID]), level(load[y.ID])), cmp.Compare(y.Weights[m], x.Weights[m]), cmp.Compare(a.inZone[x.Zone][m], a.inZone[y.Zone][m]),
 			cmp.Compare(x.ID, y.ID))
 	})
 }
 
 // mostLoaded returns the engine that should stop following a model.
 func (a *assignment) mostLoaded(m string) roster.Instance {
+	load, _ := a.fill()
 	return slices.MaxFunc(a.candidates(m, true), func(x, y roster.Instance) int {
-		return cmp.Or(cmp.Compare(a.load(x), a.load(y)), cmp.Compare(y.Weights[m], x.Weights[m]), cmp.Compare(a.inZone[x.Zone][m], a.inZone[y.Zone][m]),
+		return cmp.Or(cmp.Compare(level(load[x.ID]), level(load[y.ID])), cmp.Compare(y.Weights[m], x.Weights[m]), cmp.Compare(a.inZone[x.Zone][m], a.inZone[y.Zone][m]),
 			cmp.Compare(x.ID, y.ID))
 	})
 }
--- a/internal/process/weights/weights.go
+++ b/internal/process/weights/weights.go
@@ -91,6 +91,8 @@
 	pending map[string]*pendingOrder
 	// assigned holds the models that each engine follows.
 	assigned map[instanceKey][]string
+	// signatures holds what the models of a group of engines were assigned by.
+	signatures map[string]string
 	// newest holds the latest version of each model and when it was first seen.
 	newest map[string]versionSeen
 }
@@ -121,7 +123,8 @@
 
 // New returns a planner without orders.
 func New() *Planner {
-	return &Planner{pending: map[string]*pendingOrder{}, assigned: map[instanceKey][]string{}, newest: map[string]versionSeen{}}
+	return &Planner{pending: map[string]*pendingOrder{}, assigned: map[instanceKey][]string{}, newest: map[string]versionSeen{},
+		signatures: map[string]string{}}
 }
 
 // Demand is what trainers need of the engines, by model.
@@ -139,7 +142,7 @@
 func (p *Planner) Next(now time.Time, d Demand, engines []roster.Instance) []Order {
 	p.clearPending(now, engines)
 	p.recordVersions(now, d.Published)
-	free := max(minParallel, int(math.Round(maxLoadingFraction*float64(loadable(engines))))) - p.loadingCount(now)
+	free := parallelLoads(loadable(engines)) - p.loadingCount(now)
 	var out []Order
 	p.assignModels(d, engines)
 	for _, o := range p.outdated(now, d, engines) {
@@ -234,6 +237,11 @@
 	return min(published, max(minVersion, published-min(published, maxLag)))
 }
 
+// parallelLoads returns how many of the engines may load at one time.
+func parallelLoads(engines int) int {
+	return max(minParallel, int(math.Round(maxLoadingFraction*float64(engines))))
+}
+
 // loadable returns the number of engines that have weights loaded.
 func loadable(engines []roster.Instance) int {
 	n := 0
