--- a/internal/process/store/score.go
+++ b/internal/process/store/score.go
@@ -17,9 +17,13 @@
 	"github.com/plantainbank/plantainbank/internal/version/routing"
 )
 
-// scoreTryTimeout bounds one call of a scorer. A call takes 0.2 s on average and 1.5 s at
-// most, so a server that takes longer is slow or down.
-const scoreTryTimeout = 2 * time.Second
+// scoreTryTimeout bounds the first call of a scorer, and maxScoreTimeout the later ones, each of
+// which gets twice the time of the one before. A call takes 0.2 s on average and 1.5 s at most;
+// the first timeout is shorter, since the server that does not respond is usually down.
+const (
+	scoreTryTimeout = time.Second
+	maxScoreTimeout = 4 * time.Second
+)
 
 // scoring is the state of an item whose text is complete and has no score yet.
 type scoring struct {
@@ -109,13 +113,13 @@
 	w.cancel = cancel
 	x := w.score
 	x.calls++
-	if now.After(x.deadline) {
+	if x.deadline.Sub(now) < scoreTryTimeout {
 		x.deadline = now.Add(route.Timeout)
 	}
 	attempts := max(1, route.MaxAttempts)
 	route.MaxAttempts, route.Kind = 1, routing.Idempotent // this package counts the failures
 	r := &forward.Request{ID: w.item.Scorer.ID, Route: &route, Service: service, Deadline: x.deadline,
-		ConfigVersion: d.state.Table.Config.Version, Raw: d.scoreRequest(w.item.Scorer), AttemptTimeout: scoreTryTimeout, Avoid: x.avoid, Buffered: true}
+		ConfigVersion: d.state.Table.Config.Version, Raw: d.scoreRequest(w.item.Scorer), AttemptTimeout: min(scoreTryTimeout<<min(x.calls-1, 8), maxScoreTimeout), Avoid: x.avoid, Buffered: true}
 	go d.runScore(callCtx, ctx, k, w, r, attempts)
 }
 
