Mend small faults of groups, batches and steps that were found by reading

- replica: a call to a peer could take 700 ms, longer than the election timeout of the control group (500 ms), so one silent connection cost the leader its followers.
- batch: the driver never gives up items without expiry, but the store dropped their open batch after the retention time; now it remains until it has ended or is complete (TestExpiredBatches).
- control: a rollout's part of a claim applied to each of its steps; a hedge could go to the host that generates the sample; a score that is no finite number ended the process in the log's encoding; a failed bootstrap was logged as done.

--- a/internal/request/batch/batch.go
+++ b/internal/request/batch/batch.go
@@ -271,14 +271,16 @@
 	b.Items[i].Body, b.Items[i].Headers, b.Items[i].Partial, b.Items[i].Scorer = nil, nil, nil, nil
 }
 
-// Expired returns the IDs of the batches that can be deleted: an ended batch once the
-// retention has passed since its submission, an open one once it has passed since the
-// expiry of the batch.
+// Expired returns the IDs of the batches that can be deleted: an ended or complete batch once
+// the retention has passed since its submission, another one once it has passed since the
+// expiry of its items. A batch whose items never expire remains until it has ended or is
+// complete.
 func (s *Store) Expired(now time.Time, retention time.Duration) []string {
 	var out []string
 	for id, b := range s.all {
 		age := now.Sub(time.UnixMilli(b.Submitted))
-		if age > retention && (b.Ended || age > retention+time.Duration(b.Expiry)*time.Millisecond) {
+		done := b.Ended || len(b.Results) == len(b.Items)
+		if age > retention && (done || b.Expiry > 0 && age > retention+time.Duration(b.Expiry)*time.Millisecond) {
 			out = append(out, id)
 		}
 	}
--- a/internal/request/batch/score_test.go
+++ b/internal/request/batch/score_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"slices"
 	"testing"
+	"time"
 )
 
 func scoredBatch(id string, scorer *Scorer) *Batch {
@@ -86,3 +87,36 @@
 		}
 	}
 }
+
+func TestExpiredBatches(t *testing.T) {
+	const retention = 10 * time.Second
+	for _, c := range []struct {
+		name   string
+		expiry int64
+		ended  bool
+		done   bool
+		age    time.Duration
+		want   bool
+	}{
+		{"ended", 0, true, false, 11 * time.Second, true},
+		{"ended, within the retention", 0, true, false, 9 * time.Second, false},
+		{"complete", 0, false, true, 11 * time.Second, true},
+		{"open, its items expire", 5000, false, false, 16 * time.Second, true},
+		{"open, its items expire later", 5000, false, false, 14 * time.Second, false},
+		{"open, its items never expire", 0, false, false, 1000 * time.Second, false},
+	} {
+		s := NewStore()
+		b := scoredBatch("a", nil)
+		b.Submitted, b.Expiry = 1, c.expiry
+		apply(t, s, &Command{Accept: b})
+		if c.done {
+			apply(t, s, &Command{AddResults: &AddResults{Batch: "a", Results: []Result{{Item: "i", State: Dead}}}})
+		}
+		if c.ended {
+			apply(t, s, &Command{End: "a"})
+		}
+		if got := s.Expired(time.UnixMilli(1).Add(c.age), retention); (len(got) == 1) != c.want {
+			t.Errorf("%s: expired %v", c.name, got)
+		}
+	}
+}
--- a/pkg/process/control/claims.go
+++ b/pkg/process/control/claims.go
@@ -66,7 +66,9 @@
 		steps := queues[(i+s.leadership.rolloutTurn)%len(queues)]
 		quota := (limit-len(out)-1)/(len(queues)-i) + 1
 		for _, step := range steps {
-			out = append(out, s.claimSlots(step, host, min(quota, limit-len(out)), now)...)
+			claims := s.claimSlots(step, host, quota, now)
+			quota -= len(claims)
+			out = append(out, claims...)
 		}
 	}
 	s.leadership.rolloutTurn++
@@ -141,7 +143,7 @@
 	var out []*pb.Claim
 	for i := range step.Slots {
 		c := s.leadership.claims[claimKey{key, i}]
-		if c == nil || c.hedged || step.Slots[i].Sample != nil || len(out) >= limit {
+		if c == nil || c.hedged || c.host == host || step.Slots[i].Sample != nil || len(out) >= limit {
 			continue
 		}
 		if now.Sub(c.start) > max(minHedgeDelay, hedgeFactor*s.avgSampleTime) {
--- a/pkg/process/control/control.go
+++ b/pkg/process/control/control.go
@@ -106,7 +106,7 @@
 		return nil, err
 	}
 	s.scheme, s.client = scheme, client
-	s.peers = replica.NewTransport(client, scheme, cfg.Listen)
+	s.peers = replica.NewTransport(client, scheme, cfg.Listen, o.Timing.Election)
 	if err := s.newNode(persisted, o.Timing); err != nil {
 		d.Close()
 		return nil, err
--- a/pkg/process/control/membership.go
+++ b/pkg/process/control/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -73,14 +74,13 @@
 }
 
 func (s *Server) bootstrap(ctx context.Context, members quorum.Members) {
-	err := s.do(ctx, func() {
-		if err := s.node.Bootstrap(members); err != nil {
-			s.log.WithError(err).Error("could not bootstrap the control group")
-		}
-	})
-	if err == nil {
-		s.log.WithField("replicas", len(members)).Info("bootstrapped the control group")
+	var bootstrapErr error
+	err := s.do(ctx, func() { bootstrapErr = s.node.Bootstrap(members) })
+	if err := errors.Join(err, bootstrapErr); err != nil {
+		s.log.WithError(err).Error("could not bootstrap the control group")
+		return
 	}
+	s.log.WithField("replicas", len(members)).Info("bootstrapped the control group")
 }
 
 func (s *Server) requestJoin(ctx context.Context) {
--- a/pkg/process/control/steps.go
+++ b/pkg/process/control/steps.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -69,6 +71,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkScores(q); err != nil {
+		return nil, err
+	}
 	if len(q.Samples) == 0 {
 		return &pb.CommitAnswer{}, nil
 	}
@@ -84,6 +89,17 @@
 	return &pb.CommitAnswer{Stored: uint32(stored)}, nil
 }
 
+// checkScores rejects scores that the log cannot hold: its commands are JSON, which has no
+// infinite numbers and no NaN.
+func checkScores(q *pb.CommitRequest) error {
+	for i, x := range q.Samples {
+		if math.IsNaN(x.Score) || math.IsInf(x.Score, 0) {
+			return twirp.InvalidArgumentError(fmt.Sprintf("samples[%d].score", i), "must be a finite number")
+		}
+	}
+	return nil
+}
+
 func commitFromProto(q *pb.CommitRequest) *ledger.CommitSamples {
 	c := &ledger.CommitSamples{}
 	for _, x := range q.Samples {
--- a/pkg/process/replica/replica.go
+++ b/pkg/process/replica/replica.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{cfg: cfg, disk: d, peers: NewTransport(cfg.Client, "http://", cfg.Self)}
+	r := &Replica{cfg: cfg, disk: d, peers: NewTransport(cfg.Client, "http://", cfg.Self, cfg.Timing.Election)}
 	persisted, err := DecodeSaved(saved)
 	if err != nil {
 		d.Close()
--- a/pkg/process/replica/transport.go
+++ b/pkg/process/replica/transport.go
@@ -15,10 +15,10 @@
 	// queueSize is the maximum number of messages queued for one peer. Further messages are
 	// dropped; the protocol tolerates lost messages.
 	queueSize = 1024
-	// sendTimeout bounds a call to a peer. It is below the usual election timeout (900 ms),
-	// so that a connection that no longer answers is closed in time for the next heartbeat
-	// to use a new one.
-	sendTimeout = 700 * time.Millisecond
+	// sendFraction is the fraction of the election timeout that bounds a call to a peer, so
+	// that a connection that no longer answers is closed in time for the next heartbeat to
+	// use a new one.
+	sendFraction = 0.6
 	// snapshotTimeout bounds a call that carries a complete snapshot.
 	snapshotTimeout = 5 * time.Second
 )
@@ -28,17 +28,20 @@
 	client *http.Client
 	scheme string
 	// self is the address to which the peers send their answers.
-	self   string
-	mu     sync.Mutex
-	queues map[string]chan quorum.Message
+	self string
+	// timeout bounds a call without a snapshot.
+	timeout time.Duration
+	mu      sync.Mutex
+	queues  map[string]chan quorum.Message
 	// addrs contains the address stated in each replica's latest message. It is needed
 	// because a replica that joins answers the leader before it knows any member.
 	addrs map[quorum.NodeID]string
 }
 
-// NewTransport returns a transport for the replica at the address self.
-func NewTransport(client *http.Client, scheme, self string) *Transport {
-	return &Transport{client: client, scheme: scheme, self: self,
+// NewTransport returns a transport for the replica at the address self of a group with the given
+// election timeout.
+func NewTransport(client *http.Client, scheme, self string, election time.Duration) *Transport {
+	return &Transport{client: client, scheme: scheme, self: self, timeout: time.Duration(sendFraction * float64(election)),
 		queues: map[string]chan quorum.Message{}, addrs: map[quorum.NodeID]string{}}
 }
 
@@ -94,7 +97,7 @@
 func (t *Transport) sendQueued(p peer.Peer, c chan quorum.Message) {
 	for m := range c {
 		b := &peer.Batch{Addr: t.self, Messages: []*peer.Message{ToWire(m)}}
-		timeout := sendTimeout
+		timeout := t.timeout
 		if m.Snapshot != nil {
 			timeout = snapshotTimeout
 		}
