Hold back requests of a loading model only, and try one at a time

Change: the refusal is remembered for that model. After the cooldown one request at a time is sent, until the engine starts one or announces a newer version.

--- a/internal/connection/placement/table.go
+++ b/internal/connection/placement/table.go
@@ -18,8 +18,6 @@
 	// fullCooldown follows a refusal because the server is full; in that time a
 	// few of its requests finish.
 	fullCooldown = 120 * time.Millisecond
-	// loadingCooldown follows a refusal while weights load, which takes 0.9 s.
-	loadingCooldown = 250 * time.Millisecond
 	// interruptedThreshold is the number of consecutive interrupted requests after
 	// which a server counts as failed: a crash interrupts all requests in flight,
 	// a corrupt response only one.
@@ -95,6 +93,9 @@
 	// coldSince is the time of the last failure, after which the server counts as
 	// cold; zero if it has not failed.
 	coldSince time.Time
+	// loading holds the models for which the server has refused requests since it last
+	// started one.
+	loading map[string]*loadingModel
 	// reportedLoad is the load in the server's last report, which includes the
 	// requests of other hosts.
 	reportedLoad int
@@ -145,6 +146,11 @@
 		}
 		known := s.Weights
 		s.Instance = x
+		for model, v := range x.Weights {
+			if v > known[model] {
+				delete(s.loading, model)
+			}
+		}
 		for model, v := range known {
 			if v > x.Weights[model] {
 				s.setVersion(model, v)
@@ -196,6 +202,8 @@
 type Slot struct {
 	ID, Addr string
 	Born     int64
+	// Model is the model of the request, empty if it needs none.
+	Model string
 	// Taken is when the slot was taken.
 	Taken time.Time
 	// Running is the number of requests that this host has in flight at the server,
@@ -216,11 +224,14 @@
 	}
 	s.running++
 	s.probing = s.failures > 0
+	if l := s.loading[req.Model]; l != nil {
+		l.probing = true
+	}
 	cold := t.cold(s, now)
 	if cold {
 		s.credit--
 	}
-	return Slot{ID: s.ID, Addr: s.Addr, Born: s.Born, Taken: now, Running: s.running, Cold: cold}, true
+	return Slot{ID: s.ID, Addr: s.Addr, Born: s.Born, Model: req.Model, Taken: now, Running: s.running, Cold: cold}, true
 }
 
 func (t *Table) choose(req Requirement, now time.Time) *server {
@@ -254,6 +265,7 @@
 	case s.Service != req.Service, s.State != roster.Ready, t.zonesOut[s.Zone], req.Avoid[s.ID]:
 	case req.Model != "" && s.Weights[req.Model] < req.MinVersion:
 	case !req.IgnoreCooldown && (now.Before(s.cooldownUntil) || s.failures > 0 && s.probing):
+	case s.refusesModel(req.Model, now):
 	case req.Strict && s.Slots > 0 && s.running >= s.Slots:
 	case t.cold(s, now) && s.credit < 1:
 	default:
@@ -419,6 +431,9 @@
 
 // applyOutcome clears the failures of a server or starts a cooldown.
 func (s *server) applyOutcome(x Slot, o Outcome, now time.Time) {
+	if l := s.loading[x.Model]; l != nil && o != Loading {
+		l.probing = false // a request that was started has removed it
+	}
 	switch o {
 	case Served:
 		s.failures, s.cooldownUntil, s.interrupted, s.lastServed = 0, time.Time{}, 0, now
@@ -433,7 +448,7 @@
 	case Full:
 		s.cooldownUntil = later(s.cooldownUntil, now.Add(fullCooldown))
 	case Loading:
-		s.cooldownUntil = later(s.cooldownUntil, now.Add(loadingCooldown))
+		s.startLoading(x.Model, now)
 	case ConnectFailed, Misdirected:
 		s.startCooldown(now)
 	}
--- a/internal/process/store/pace.go
+++ b/internal/process/store/pace.go
@@ -87,6 +87,9 @@
 func (d *driver) watchPace(p *paceTracker, w *pendingItem, slot placement.Slot, req placement.Requirement) {
 	now := time.Now()
 	report := p.observe(now)
+	if p.events == 1 {
+		d.table.Started(slot)
+	}
 	w.pulse.beat(now, p.mean)
 	if !report {
 		return
