Let a new leader act at once where receivers compare fencing tokens

Cause: each new control leader waited a whole lease (3 s) after its election before it ordered weights.

Ruled out as necessary: the lease of the quorum ends before a successor is elected, and a late call of the deposed leader has a lower token, which receivers refuse. What must not happen is that two hosts take turns within a lease.

Change: a leader waits only if the leadership was taken from its host less than a lease and 6 s of clock differences ago, or if receivers do not compare tokens (setting bounds.fenced). The log keeps when a host was superseded. It waits up to 2 s for the store leader's report of the work.

Also removed: bounds and fields that nothing read (drain, late, heartbeat, overage, slack).

--- a/internal/connection/placement/table.go
+++ b/internal/connection/placement/table.go
@@ -107,10 +107,6 @@
 type Table struct {
 	// Zone is the host's own availability zone; empty means no preference.
 	Zone string
-	// Overage and Slack are the site's limit for a cold server, in requests per second
-	// over all hosts: rate * Overage + Slack. The table does not read them: it sends at
-	// most coldRateShare of the rate.
-	Overage, Slack float64
 	// Connected reports whether there is an open connection to an address. If it
 	// is nil, connections are ignored.
 	Connected func(addr string) bool
--- a/internal/process/catalog/catalog.go
+++ b/internal/process/catalog/catalog.go
@@ -26,6 +26,9 @@
 	Token uint64 `json:"token"`
 	// Holder is the host that holds the leadership.
 	Holder string `json:"holder,omitempty"`
+	// Superseded holds when another host last took the leadership from a host, in Unix
+	// milliseconds of the clock of the host that took it.
+	Superseded map[string]int64 `json:"superseded,omitempty"`
 	// Windows are the closed usage windows; their counts never change.
 	Windows map[uint64]*Window `json:"windows,omitempty"`
 	// Floor is the lowest number of a window that may still be closed.
@@ -73,9 +76,11 @@
 	// PreviousVoters are the voters that InitialVoters replaces, none at first.
 	PreviousVoters []InitialVoter `json:"was,omitempty"`
 	Retire         string         `json:"retire,omitempty"`
-	// Leadership is the host that takes the leadership.
-	Leadership string       `json:"office,omitempty"`
-	Close      *WindowClose `json:"close,omitempty"`
+	// Leadership is the host that takes the leadership, LeadershipAt when it does, in Unix
+	// milliseconds.
+	Leadership   string       `json:"office,omitempty"`
+	LeadershipAt int64        `json:"officeat,omitempty"`
+	Close        *WindowClose `json:"close,omitempty"`
 	// ReportedWindow is the number of a window that was reported.
 	ReportedWindow uint64 `json:"sent,omitempty"`
 	// Instances is the roster to store for the next leader.
@@ -162,7 +167,7 @@
 	case x.Retire != "":
 		return c.retire(x.Retire)
 	case x.Leadership != "":
-		c.Token, c.Holder = index, x.Leadership
+		c.setHolder(index, x.Leadership, x.LeadershipAt)
 	case x.Close != nil:
 		c.closeWindow(x.Close)
 	case x.Instances != nil:
@@ -175,6 +180,16 @@
 	return false
 }
 
+func (c *Catalog) setHolder(index uint64, host string, at int64) {
+	if c.Holder != "" && c.Holder != host {
+		if c.Superseded == nil {
+			c.Superseded = map[string]int64{}
+		}
+		c.Superseded[c.Holder] = at
+	}
+	c.Token, c.Holder = index, host
+}
+
 // putConfig replaces the configuration if the new version is higher.
 func (c *Catalog) putConfig(x *ConfigChange) bool {
 	if current := c.Public.Config; current != nil && x.Config.Version <= current.Version {
--- a/internal/process/director/leadership.go
+++ b/internal/process/director/leadership.go
@@ -27,8 +27,10 @@
 type leadership struct {
 	term  uint64
 	since time.Time
-	// token is zero until the leadership is committed to the log.
-	token        uint64
+	// token is zero until the leadership is committed to the log; actFrom is set with it.
+	token uint64
+	// actFrom is the time from which the leader may call engines and the platform.
+	actFrom      time.Time
 	establishing bool
 	roster       *roster.Table
 	hosts        map[string]*host
@@ -154,6 +156,21 @@
 	return l.roster.All()
 }
 
+// clockMargin is added to a time that another host's clock measured; clocks differ by seconds.
+const clockMargin = 6 * time.Second
+
+// actDelay returns how long after its election a leader waits until it acts. Two hosts must not
+// take turns within a lease, also at receivers that compare fencing tokens: a host from which the
+// leadership was taken a short time ago waits. Receivers that do not compare tokens may get a call
+// of the previous leader late, so every leader waits there. supersededAt is when another host
+// last took the leadership from this one, zero if never.
+func actDelay(lease time.Duration, fenced bool, supersededAt, now time.Time) time.Duration {
+	if fenced && (supersededAt.IsZero() || now.Sub(supersededAt) > lease+clockMargin) {
+		return 0
+	}
+	return lease
+}
+
 // demand returns what trainers need of the engines, as far as the leader of the store group
 // has reported it.
 func (l *leadership) demand(published map[string]uint64, now time.Time) weights.Demand {
--- a/internal/process/director/tasks.go
+++ b/internal/process/director/tasks.go
@@ -18,6 +18,9 @@
 	callTimeout = time.Second
 	// proposeTimeout bounds the commit of one log entry.
 	proposeTimeout = 2 * time.Second
+	// demandWait is how long after its election a leader waits for the report of the store
+	// leader before it orders weights without it.
+	demandWait = 2 * time.Second
 	// bootstrapDelay lets store hosts of all availability zones report before the initial
 	// voters are chosen.
 	bootstrapDelay = 1500 * time.Millisecond
@@ -87,28 +90,28 @@
 	}()
 }
 
-// mayAct reports whether this leadership may act: its token is committed to the log, the
-// lease of any previous holder has expired, and no call was rejected for an outdated token
-// within the last lease duration. It starts establishing the leadership if that is not
-// under way.
+// mayAct reports whether this leadership may act: its token is committed to the log, its delay
+// has passed, and no call was rejected for an outdated token within the last lease duration. It
+// starts establishing the leadership if that is not under way.
 func (s *Server) mayAct(ctx context.Context, l *leadership, now time.Time) bool {
 	if l.token == 0 && !l.establishing {
 		l.establishing = true
 		go s.establish(ctx, l)
 	}
-	return l.token != 0 && now.Sub(l.since) >= s.cfg.Site.Bounds.Lease.Duration() && now.Sub(l.fencedAt) >= s.cfg.Site.Bounds.Lease.Duration()
+	return l.token != 0 && !now.Before(l.actFrom) && now.Sub(l.fencedAt) >= s.cfg.Site.Bounds.Lease.Duration()
 }
 
 // establish commits the entry whose log index is the fencing token.
 func (s *Server) establish(ctx context.Context, l *leadership) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	err := s.propose(ctx, &catalog.Command{Leadership: s.cfg.Site.Host})
+	err := s.propose(ctx, &catalog.Command{Leadership: s.cfg.Site.Host, LeadershipAt: time.Now().UnixMilli()})
 	doErr := s.do(context.WithoutCancel(ctx), func() {
 		l.establishing = false
 		if err == nil && s.leadership == l && s.catalog.Holder == s.cfg.Site.Host {
-			l.token = s.catalog.Token
-			s.log.WithFields(logrus.Fields{"term": l.term, "token": l.token}).Info("leadership established")
+			delay := s.actDelay(time.Now())
+			l.token, l.actFrom = s.catalog.Token, l.since.Add(delay)
+			s.log.WithFields(logrus.Fields{"term": l.term, "token": l.token, "acts_after_ms": delay.Milliseconds()}).Info("leadership established")
 		}
 	})
 	if err = errors.Join(err, doErr); err != nil {
@@ -116,6 +119,14 @@
 	}
 }
 
+func (s *Server) actDelay(now time.Time) time.Duration {
+	var superseded time.Time
+	if ms, ok := s.catalog.Superseded[s.cfg.Site.Host]; ok {
+		superseded = time.UnixMilli(ms)
+	}
+	return actDelay(s.cfg.Site.Bounds.Lease.Duration(), s.cfg.Site.Bounds.Fenced, superseded, now)
+}
+
 func (s *Server) fencingToken(l *leadership) FencingToken {
 	return FencingToken{Holder: s.cfg.Site.Host, Token: l.token}
 }
@@ -129,6 +140,9 @@
 
 // orderWeights sends the weight orders that are due.
 func (s *Server) orderWeights(ctx context.Context, l *leadership, now time.Time) {
+	if l.storeLeader(now) == nil && now.Sub(l.since) < demandWait {
+		return // the work of the models decides which engine follows which
+	}
 	wait := s.catalog.Public.Config.RequiresSingleVersions()
 	for _, order := range l.planner.Next(now, l.demand(s.catalog.Public.Weights, now), l.roster.Live()) {
 		seq, known := l.accepted[instanceKey{order.Instance.ID, order.Instance.Born}]
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -54,7 +54,6 @@
 	s := &Server{cfg: cfg, log: cfg.Log, table: placement.NewTable(), usage: newUsage(cfg.Site.Bounds.Window.Duration()),
 		stateKnown: make(chan struct{})}
 	s.table.Zone = cfg.Site.Zone
-	s.table.Overage, s.table.Slack = cfg.Site.Bounds.Overage, cfg.Site.Bounds.Slack
 	s.table.Connected = cfg.Servers.Idle
 	s.forwarder = forward.New(forward.Config{Table: s.table, Client: cfg.Servers, Headers: cfg.Headers, Log: cfg.Log,
 		Scope: cfg.Scope, OnStart: func(workspace string) { s.usage.add(workspace, time.Now()) }})
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -129,10 +129,8 @@
 	d := &driver{s: s, table: placement.NewTable(), runner: &itemrun.Runner{Client: s.cfg.Engines, Headers: s.cfg.Headers},
 		wake: make(chan struct{}, 1), state: &feed.State{}, tokenTime: initialTokenTime}
 	d.table.Connected = s.cfg.Engines.Idle
-	d.table.Overage, d.table.Slack = s.cfg.Site.Bounds.Overage, s.cfg.Site.Bounds.Slack
 	d.scoreTable = placement.NewTable()
 	d.scoreTable.Zone, d.scoreTable.Connected = s.cfg.Site.Zone, s.cfg.Engines.Idle
-	d.scoreTable.Overage, d.scoreTable.Slack = s.cfg.Site.Bounds.Overage, s.cfg.Site.Bounds.Slack
 	d.forwarder = forward.New(forward.Config{Table: d.scoreTable, Client: s.cfg.Engines, Headers: s.cfg.Headers, Log: s.log,
 		Scope: s.cfg.Scope, OnStart: func(string) {}})
 	d.clear()
--- a/pkg/process/settings/site.go
+++ b/pkg/process/settings/site.go
@@ -67,23 +67,15 @@
 	// Lease is the time that must pass after one holder of the leader tasks before
 	// the next holder may act.
 	Lease Millis `json:"lease"`
-	// Drain is the time in which no new work may reach a draining server.
-	Drain Millis `json:"drain"`
+	// Fenced is true if engines and the platform refuse calls with an outdated fencing
+	// token.
+	Fenced bool `json:"fenced"`
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace Millis `json:"grace"`
 	// Window is the length of a usage window.
 	Window Millis `json:"window"`
-	// ReportDeadline is the time after the end of a usage window by which it must be
-	// reported.
-	ReportDeadline Millis `json:"late"`
 	// ResultRetention is how long the results of a batch stay readable.
 	ResultRetention Millis `json:"keep"`
-	// Heartbeat is the interval of the backend servers' announcements.
-	Heartbeat Millis `json:"heartbeat"`
-	// Overage and Slack limit the requests per second to a cold server, over all
-	// hosts, to the service's rate for cold servers times Overage, plus Slack.
-	Overage float64 `json:"overage"`
-	Slack   float64 `json:"slack"`
 }
 
 // SitePlatform configures the platform's interface for orders and usage.
@@ -134,12 +126,9 @@
 func (b Bounds) check() error {
 	return strictjson.First(
 		strictjson.Require("bounds.lease", b.Lease > 0, "must be above 0 ms"),
-		strictjson.Require("bounds.drain", b.Drain > 0, "must be above 0 ms"),
 		strictjson.Require("bounds.grace", b.Grace > 0, "must be above 0 ms"),
 		strictjson.Require("bounds.window", b.Window > 0, "must be above 0 ms"),
-		strictjson.Require("bounds.late", b.ReportDeadline > 0, "must be above 0 ms"),
 		strictjson.Require("bounds.keep", b.ResultRetention > 0, "must be above 0 ms"),
-		strictjson.Require("bounds.heartbeat", b.Heartbeat > 0, "must be above 0 ms"),
 	)
 }
 
