Let a deposed leader catch up in a round trip, and bound appends in bytes

Change: a follower's answer skips all entries of the conflicting term at once (Ongaro, section 3.5), and the leader sends again at once. Appends hold at most 256 KB in more than one entry, and calls stop growing at 512 KB.

--- a/pkg/process/quorum/core.go
+++ b/pkg/process/quorum/core.go
@@ -55,6 +55,9 @@
 // Limits and delays of the protocol.
 const (
 	maxEntriesPerAppend = 256
+	// maxBytesPerAppend bounds the data of an append with more than one entry, so that it
+	// arrives well within an election timeout.
+	maxBytesPerAppend = 256 << 10
 	// maxRounds is the number of heartbeat rounds whose send times a leader keeps.
 	maxRounds = 64
 	// snapshotRetryRounds is the number of heartbeat rounds without progress after which a
--- a/pkg/process/quorum/log.go
+++ b/pkg/process/quorum/log.go
@@ -57,6 +57,19 @@
 	return append([]Entry(nil), s...)
 }
 
+// sliceBytes returns up to limit entries with at most maxBytes of data from an index on, at least
+// one if there is any.
+func (l *raftLog) sliceBytes(from uint64, limit, maxBytes int) []Entry {
+	all := l.slice(from, limit)
+	size := 0
+	for i, e := range all {
+		if size += len(e.Data); i > 0 && size > maxBytes {
+			return all[:i]
+		}
+	}
+	return all
+}
+
 func (l *raftLog) push(e Entry) {
 	l.entries = append(l.entries, e)
 	if e.Kind != EntryMembers {
--- a/pkg/process/quorum/replicate.go
+++ b/pkg/process/quorum/replicate.go
@@ -56,7 +56,7 @@
 		c.sendSnapshot(to, p)
 		return
 	}
-	entries := c.log.slice(p.next, maxEntriesPerAppend)
+	entries := c.log.sliceBytes(p.next, maxEntriesPerAppend, maxBytesPerAppend)
 	c.send(Message{Kind: MsgAppend, To: to, LogIndex: prev, LogTerm: term,
 		Entries: entries, Commit: c.commit, Round: c.round})
 	p.next += uint64(len(entries))
@@ -101,8 +101,7 @@
 		return
 	}
 	if t, ok := c.log.term(m.LogIndex); !ok || t != m.LogTerm {
-		hint := min(m.LogIndex-1, c.log.lastIndex())
-		c.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true, LogIndex: hint, Round: m.Round})
+		c.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true, LogIndex: c.matchHint(m.LogIndex), Round: m.Round})
 		return
 	}
 	for _, e := range m.Entries {
@@ -113,6 +112,23 @@
 	c.send(Message{Kind: MsgAppendReply, To: m.From, LogIndex: last, Round: m.Round})
 }
 
+// matchHint returns the highest index at which the log may match that of the leader, whose entry
+// at index does not match. It skips all entries of the conflicting term at once (Ongaro, "Consensus:
+// Bridging Theory and Practice", section 3.5): a deposed leader may have hundreds of them.
+func (c *Core) matchHint(index uint64) uint64 {
+	if index > c.log.lastIndex() {
+		return c.log.lastIndex()
+	}
+	conflicting, _ := c.log.term(index)
+	for index > c.commit {
+		if t, ok := c.log.term(index); !ok || t != conflicting {
+			break
+		}
+		index--
+	}
+	return index
+}
+
 func (c *Core) followLeader(m Message, now time.Time) {
 	c.becomeFollower(m.Term, m.From, now)
 	c.lastLeaderContact = now
@@ -162,7 +178,10 @@
 	p.lastContact = now
 	p.round = max(p.round, m.Round)
 	if m.Reject {
-		p.next = max(p.match+1, min(p.next, m.LogIndex+1))
+		if next := max(p.match+1, m.LogIndex+1); next < p.next {
+			p.next = next
+			c.sendAppend(m.From, p)
+		}
 		return
 	}
 	p.match = max(p.match, m.LogIndex)
--- a/pkg/process/replica/transport.go
+++ b/pkg/process/replica/transport.go
@@ -15,6 +15,9 @@
 	// queueSize is the maximum number of messages queued for one peer. Further messages are
 	// dropped; the protocol tolerates lost messages.
 	queueSize = 1024
+	// maxCallBytes is the size of the entries in a call from which on no further messages are
+	// added to it.
+	maxCallBytes = 512 << 10
 	// sendFraction is the fraction of the election timeout that bounds a call to a peer, so
 	// that a connection that no longer answers is closed in time for the next heartbeat to
 	// use a new one.
@@ -101,7 +104,7 @@
 		if m.Snapshot != nil {
 			timeout = snapshotTimeout
 		}
-		for len(c) > 0 && m.Snapshot == nil {
+		for size := dataBytes(m); len(c) > 0 && m.Snapshot == nil && size < maxCallBytes; size += dataBytes(m) {
 			m = <-c
 			b.Messages = append(b.Messages, ToWire(m))
 			if m.Snapshot != nil {
@@ -113,3 +116,12 @@
 		cancel()
 	}
 }
+
+// dataBytes returns the size of the entries of a message.
+func dataBytes(m quorum.Message) int {
+	n := 0
+	for _, e := range m.Entries {
+		n += len(e.Data)
+	}
+	return n
+}
