--- a/pkg/request/attempt/body.go
+++ b/pkg/request/attempt/body.go
@@ -148,12 +148,9 @@
 	return nil
 }
 
-// Values that fasthttp returns as the content length of a body of unknown length.
-const (
-	chunked = -1
-	// closeDelimited bodies end with the connection.
-	closeDelimited = -2
-)
+// closeDelimited is the content length that fasthttp returns for a body that ends with its
+// connection; that of a chunked body is -1.
+const closeDelimited = -2
 
 var errCloseDelimited = errors.New("response has neither a length nor chunked encoding: its end cannot be distinguished from a lost connection")
 
