--- a/internal/process/store/score.go
+++ b/internal/process/store/score.go
@@ -31,14 +31,19 @@
 	// if it succeeded.
 	textDone chan struct{}
 	stored   bool
-	// failures counts the calls to which the service responded with an error.
-	failures, calls int
+	// calls counts all calls, failures those to which the service responded with an error.
+	calls, failures int
 	// avoid lists the servers at which calls have failed.
 	avoid map[string]bool
 	// deadline is the deadline of the current call and of its retries.
 	deadline time.Time
 }
 
+// timeout returns the bound of the current call.
+func (x *scoring) timeout() time.Duration {
+	return min(scoreTryTimeout<<min(x.calls-1, 8), maxScoreTimeout)
+}
+
 // beginScoring queues the call that scores a complete text, and writes the text to the log
 // meanwhile, so that no later leader runs the item again.
 func (d *driver) beginScoring(ctx context.Context, k itemqueue.Key, w *pendingItem) {
@@ -119,7 +124,8 @@
 	attempts := max(1, route.MaxAttempts)
 	route.MaxAttempts, route.Kind = 1, routing.Idempotent // this package counts the failures
 	r := &forward.Request{ID: w.item.Scorer.ID, Route: &route, Service: service, Deadline: x.deadline,
-		ConfigVersion: d.state.Table.Config.Version, Raw: d.scoreRequest(w.item.Scorer), AttemptTimeout: min(scoreTryTimeout<<min(x.calls-1, 8), maxScoreTimeout), Avoid: x.avoid, Buffered: true}
+		ConfigVersion: d.state.Table.Config.Version, Raw: d.scoreRequest(w.item.Scorer),
+		AttemptTimeout: x.timeout(), Avoid: x.avoid, Buffered: true}
 	go d.runScore(callCtx, ctx, k, w, r, attempts)
 }
 
--- a/pkg/process/disk/crash_test.go
+++ b/pkg/process/disk/crash_test.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 )
@@ -241,17 +241,8 @@
 	t.Helper()
 	var out []string
 	if saved.Snapshot != nil {
-		r, err := saved.Snapshot()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer r.Close()
-		data, err := io.ReadAll(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for line := range bytes.Lines(data) {
-			out = append(out, string(bytes.TrimSpace(line)))
+		for line := range strings.Lines(snapshotText(t, saved)) {
+			out = append(out, strings.TrimSpace(line))
 		}
 	}
 	return append(out, texts(saved)...)
