--- a/internal/process/history/history.go
+++ b/internal/process/history/history.go
@@ -108,7 +108,7 @@
 // Timeline returns the lines that explain what happened to an ID, ordered by time. It is
 // empty if no line names the ID.
 func Timeline(lines []Line, id string) []Line {
-	t := &timeline{id: id, hosts: map[string]bool{}, instances: map[string]bool{}}
+	t := &timeline{id: id, hosts: map[string]bool{}, instances: map[string]bool{}, requests: map[string]bool{}}
 	for i := range lines {
 		if lines[i].hasID(id) {
 			t.add(&lines[i])
@@ -129,6 +129,9 @@
 	id               string
 	from, to         time.Time
 	hosts, instances map[string]bool
+	// requests holds the requests that were made for the item with the ID: the calls of its
+	// scorer.
+	requests map[string]bool
 }
 
 // add records the time, host and instance of a line that names the ID.
@@ -143,20 +146,25 @@
 	if x, ok := l.Fields["instance"].(string); ok && x != "" {
 		t.instances[x] = true
 	}
+	if item, ok := l.Fields["item"].(string); ok && item == t.id {
+		if request, ok := l.Fields["request"].(string); ok {
+			t.requests[request] = true
+		}
+	}
 }
 
 // includes reports whether a line belongs to the timeline.
 func (t *timeline) includes(l *Line) bool {
-	if l.hasID(t.id) {
+	request, hasRequest := l.Fields["request"].(string)
+	if l.hasID(t.id) || t.requests[request] {
 		return true
 	}
 	if len(t.hosts) == 0 || l.Time.Before(t.from.Add(-spanBefore)) || l.Time.After(t.to.Add(spanAfter)) {
 		return false
 	}
 	if x, ok := l.Fields["instance"].(string); ok && t.instances[x] {
-		_, request := l.Fields["request"]
 		_, item := l.Fields["item"]
-		return !request && !item // lines about other requests and items
+		return !hasRequest && !item // lines about other requests and items
 	}
 	state, _ := l.Fields["state"].(string)
 	return stateChanges[l.Message] && (t.hosts[l.Host] || state == "leader")
--- a/internal/process/history/history_test.go
+++ b/internal/process/history/history_test.go
@@ -70,6 +70,24 @@
 	}
 }
 
+// TestScoreCallsOfAnItem follows an item to the calls of its scorer, whose lines name the call
+// only, and leaves out those of other items.
+func TestScoreCallsOfAnItem(t *testing.T) {
+	lines, _, err := Read(strings.NewReader(`
+{"host":"store-1","msg":"attempt failed","request":"q1","instance":"s1","time":"2026-03-01T10:00:01.000Z"}
+{"host":"store-1","msg":"score call got no response","batch":"b","item":"i1","request":"q1","time":"2026-03-01T10:00:01.001Z"}
+{"host":"store-1","msg":"attempt failed","request":"q2","instance":"s1","time":"2026-03-01T10:00:01.002Z"}
+{"host":"store-1","msg":"score call got no response","batch":"b","item":"i2","request":"q2","time":"2026-03-01T10:00:01.003Z"}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := Timeline(lines, "i1")
+	if len(got) != 2 || got[0].Message != "attempt failed" || got[0].Fields["request"] != "q1" || got[1].Fields["item"] != "i1" {
+		t.Fatalf("got %v", got)
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add([]byte(sample))
 	f.Add([]byte(`{"time":"2026-03-01T10:00:00Z","instance":7,"host":[]}`))
