Log what became of the end of a batch at each host

The entry host now logs each end that it delivered, and with each call that failed the number of attempts, the last store host and the time taken. The store leader logs how many open and running items an end stopped. No decision changes.

--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -47,32 +47,55 @@
 	state  func() *feed.State
 }
 
+// callOutcome describes a call that has ended.
+type callOutcome struct {
+	// Definite is false if a call that failed may have been executed.
+	Definite bool
+	// Attempts is the number of requests sent, Addr the store host of the last one.
+	Attempts int
+	Addr     string
+	Duration time.Duration
+}
+
+func (o *callOutcome) logFields() logrus.Fields {
+	return logrus.Fields{"attempts": o.Attempts, "last": o.Addr, "took_ms": o.Duration.Milliseconds()}
+}
+
 // call runs f against the leader, and looks for the leader until leaderSearchTimeout is
-// over. definite is false if a call that failed may have been executed.
-func (c *storeClient) call(ctx context.Context, wait time.Duration, f func(context.Context, fleet.Batches) error) (definite bool, err error) {
-	definite, err = true, errNoStoreAddress
-	deadline := time.Now().Add(leaderSearchTimeout)
+// over.
+func (c *storeClient) call(ctx context.Context, wait time.Duration, f func(context.Context, fleet.Batches) error) (callOutcome, error) {
+	start := time.Now()
+	o := callOutcome{Definite: true}
+	err := c.search(ctx, start.Add(leaderSearchTimeout), &o, wait, f)
+	o.Duration = time.Since(start)
+	return o, err
+}
+
+// search calls store hosts until the leader has answered.
+func (c *storeClient) search(ctx context.Context, deadline time.Time, o *callOutcome, wait time.Duration, f func(context.Context, fleet.Batches) error) error {
+	err := errNoStoreAddress
 	addr, attempts := c.state().StoreLeader, 0
 	for {
 		if addr != "" {
+			o.Attempts, o.Addr = o.Attempts+1, addr
 			err = c.callOnce(ctx, addr, wait, f)
 			var e twirp.Error
 			switch {
 			case err == nil:
-				return definite, nil
+				return nil
 			case errors.As(err, &e) && (e.Code() == twirp.NotFound || e.Code() == twirp.InvalidArgument):
-				return definite, err
+				return err
 			case errors.As(err, &e) && e.Code() == twirp.FailedPrecondition:
 				if lead := e.Meta(feed.LeaderMeta); lead != "" && lead != addr {
 					addr = lead
 					continue
 				}
 			case !unsent(err):
-				definite = false
+				o.Definite = false
 			}
 		}
 		if ctx.Err() != nil || time.Now().After(deadline) {
-			return definite, errors.Join(err, ctx.Err())
+			return errors.Join(err, ctx.Err())
 		}
 		time.Sleep(leaderRetryDelay)
 		addr = c.nextAddr(attempts)
@@ -114,17 +137,17 @@
 	if err != nil {
 		return err
 	}
-	definite, err := s.stores.call(ctx, 0, func(ctx context.Context, c fleet.Batches) error {
+	o, err := s.stores.call(ctx, 0, func(ctx context.Context, c fleet.Batches) error {
 		_, err := c.Submit(ctx, &fleet.Submission{Id: x.ID, Batch: data})
 		return err
 	})
 	entry := s.log.WithFields(logrus.Fields{"batch": x.ID, "items": len(x.Items), "step": x.Step, "route": x.Route,
-		"lead": s.feed.State().StoreLeader})
+		"lead": s.feed.State().StoreLeader}).WithFields(o.logFields())
 	switch {
 	case err == nil:
 		entry.Info("batch handed in")
 		return nil
-	case definite:
+	case o.Definite:
 		entry.WithError(err).Warn("could not submit batch")
 		return ErrNotStored
 	}
@@ -139,11 +162,11 @@
 	if page = s.readReplica(ctx, q); page != nil {
 		return page, nil
 	}
-	_, err = s.stores.call(ctx, time.Duration(q.Waitms)*time.Millisecond, func(ctx context.Context, c fleet.Batches) error {
+	o, err := s.stores.call(ctx, time.Duration(q.Waitms)*time.Millisecond, func(ctx context.Context, c fleet.Batches) error {
 		page, err = c.Read(ctx, q)
 		return err
 	})
-	return page, s.batchError("read", q.Batch, err)
+	return page, s.batchError("read", q.Batch, o, err)
 }
 
 // readReplica asks one store host for the results that it has, and returns nil if it has
@@ -172,31 +195,35 @@
 
 // Body returns the body of an item that has no result yet.
 func (s *Server) Body(ctx context.Context, q *fleet.ItemKey) (data []byte, err error) {
-	_, err = s.stores.call(ctx, 0, func(ctx context.Context, c fleet.Batches) error {
+	o, err := s.stores.call(ctx, 0, func(ctx context.Context, c fleet.Batches) error {
 		x, err := c.Body(ctx, q)
 		data = x.GetData()
 		return err
 	})
-	return data, s.batchError("body", q.Batch, err)
+	return data, s.batchError("body", q.Batch, o, err)
 }
 
 // End ends a batch; its open items are not run any more.
 func (s *Server) End(ctx context.Context, q *fleet.BatchKey) error {
-	_, err := s.stores.call(ctx, 0, func(ctx context.Context, c fleet.Batches) error {
+	o, err := s.stores.call(ctx, 0, func(ctx context.Context, c fleet.Batches) error {
 		_, err := c.End(ctx, q)
 		return err
 	})
-	return s.batchError("end", q.Batch, err)
+	if err == nil {
+		s.log.WithField("batch", q.Batch).WithFields(o.logFields()).Info("batch end delivered")
+	}
+	return s.batchError("end", q.Batch, o, err)
 }
 
-func (s *Server) batchError(call, id string, err error) error {
+func (s *Server) batchError(call, id string, o callOutcome, err error) error {
 	switch {
 	case err == nil:
 		return nil
 	case isNotFound(err):
-		s.log.WithFields(logrus.Fields{"batch": id, "call": call}).Info("no such batch")
+		s.log.WithFields(logrus.Fields{"batch": id, "call": call}).WithFields(o.logFields()).Info("no such batch")
 		return ErrNoBatch
 	}
-	s.log.WithError(err).WithFields(logrus.Fields{"batch": id, "call": call, "lead": s.feed.State().StoreLeader}).Warn("call to the store group failed")
+	s.log.WithError(err).WithFields(logrus.Fields{"batch": id, "call": call, "lead": s.feed.State().StoreLeader}).
+		WithFields(o.logFields()).Warn("call to the store group failed")
 	return ErrOutcomeUnknown
 }
--- a/internal/process/gateway/batches_test.go
+++ b/internal/process/gateway/batches_test.go
@@ -21,12 +21,12 @@
 func TestCallWithoutStoreAddressFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &storeClient{client: http.DefaultClient, log: logrus.NewEntry(logrus.New()), state: func() *feed.State { return &feed.State{} }}
-		definite, err := c.call(context.Background(), 0, func(context.Context, fleet.Batches) error {
+		o, err := c.call(context.Background(), 0, func(context.Context, fleet.Batches) error {
 			t.Error("a call was sent without an address")
 			return nil
 		})
-		if !definite || !errors.Is(err, errNoStoreAddress) {
-			t.Fatalf("definite %v, error %v", definite, err)
+		if !o.Definite || !errors.Is(err, errNoStoreAddress) {
+			t.Fatalf("definite %v, error %v", o.Definite, err)
 		}
 	})
 }
@@ -50,12 +50,12 @@
 			defer cancel()
 			s := &storeClient{client: http.DefaultClient, log: logrus.NewEntry(logrus.New()),
 				state: func() *feed.State { return &feed.State{StoreLeader: addr} }}
-			definite, err := s.call(ctx, 0, func(context.Context, fleet.Batches) error {
+			o, err := s.call(ctx, 0, func(context.Context, fleet.Batches) error {
 				cancel()
 				return c.err
 			})
-			if err == nil || definite != c.definite {
-				t.Fatalf("definite %v, error %v", definite, err)
+			if err == nil || o.Definite != c.definite {
+				t.Fatalf("definite %v, error %v", o.Definite, err)
 			}
 		})
 	}
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -281,8 +281,13 @@
 		d.queue.Add(itemqueue.Item{Key: k, Group: item.Group, Due: e.batch.DueTime(), Index: i,
 			Estimate: d.expectedTime(item)})
 	}
+	open, running := 0, 0
 	for i, k := range e.ended {
 		if w := d.pending[k]; w != nil {
+			open++
+			if w.running {
+				running++
+			}
 			d.endItem(w)
 		}
 		delete(d.pending, k)
@@ -290,6 +295,9 @@
 		d.scores.Done(k)
 		delete(d.preferred, k.Batch+" "+e.groups[i])
 	}
+	if len(e.ended) > 0 {
+		d.s.log.WithFields(logrus.Fields{"batch": e.batch.ID, "open": open, "running": running}).Info("items of an ended batch stopped")
+	}
 }
 
 // dispatch starts the waiting items for which an engine has a free slot.
