Deliver the end of a batch also after the call that carried it has failed

Callers saw: a batch that was ended stayed open.

Cause: the end lived as long as the call that carried it. An entry host searched for the store leader for 2.5 s, answered 502 and forgot the end. If the attempts of a caller all fell into a time without a leader, no process knew of the end any more, and the items ran on until they were complete or expired.

Change: an entry host keeps an end until a leader has confirmed it or has no such batch. While calls fail, one at a time is sent, with increasing delays; after the first that succeeds all others follow. A shutdown waits for them within the grace period.

--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -13,6 +13,7 @@
 
 	"github.com/plantainbank/plantainbank/internal/process/feed"
 	"github.com/plantainbank/plantainbank/internal/request/batch"
+	"github.com/plantainbank/plantainbank/internal/request/endqueue"
 	"github.com/plantainbank/plantainbank/service/fleet"
 )
 
@@ -118,6 +119,13 @@
 	return f(ctx, fleet.NewBatchesProtobufClient("http://"+addr, c.client))
 }
 
+func (c *storeClient) end(ctx context.Context, q *fleet.BatchKey) (callOutcome, error) {
+	return c.call(ctx, 0, func(ctx context.Context, c fleet.Batches) error {
+		_, err := c.End(ctx, q)
+		return err
+	})
+}
+
 // unsent reports whether a call definitely did not leave this host.
 func unsent(err error) bool {
 	var op *net.OpError
@@ -203,14 +211,16 @@
 	return data, s.batchError("body", q.Batch, o, err)
 }
 
-// End ends a batch; its open items are not run any more.
+// End ends a batch; its open items are not run any more. If the error is ErrOutcomeUnknown, the
+// end is delivered once the store group has a leader.
 func (s *Server) End(ctx context.Context, q *fleet.BatchKey) error {
-	o, err := s.stores.call(ctx, 0, func(ctx context.Context, c fleet.Batches) error {
-		_, err := c.End(ctx, q)
-		return err
-	})
-	if err == nil {
+	asked := time.Now()
+	o, err := s.stores.end(ctx, q)
+	switch {
+	case err == nil:
 		s.log.WithField("batch", q.Batch).WithFields(o.logFields()).Info("batch end delivered")
+	case !isNotFound(err):
+		s.ends.add(endqueue.End{Workspace: q.Workspace, Batch: q.Batch, Asked: asked})
 	}
 	return s.batchError("end", q.Batch, o, err)
 }
--- /dev/null
+++ b/internal/process/gateway/ends_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/plantainbank/plantainbank/internal/process/feed"
+	"github.com/plantainbank/plantainbank/internal/request/endqueue"
+	"github.com/plantainbank/plantainbank/service/fleet"
+)
+
+// storeGroup is a store group whose leader ends batches once it is up.
+type storeGroup struct {
+	fleet.Batches
+	up    atomic.Bool
+	known map[string]bool
+	ended map[string]int
+}
+
+func (g *storeGroup) End(_ context.Context, q *fleet.BatchKey) (*fleet.Nothing, error) {
+	if !g.known[q.Batch] {
+		return nil, twirp.NotFoundError("no such batch")
+	}
+	g.ended[q.Batch]++
+	return &fleet.Nothing{}, nil
+}
+
+// RoundTrip serves a call, or fails to connect while the group is down.
+func (g *storeGroup) RoundTrip(r *http.Request) (*http.Response, error) {
+	if !g.up.Load() {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	}
+	w := httptest.NewRecorder()
+	fleet.NewBatchesServer(g).ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+func newTestServer(group *storeGroup) *Server {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	s := &Server{log: logrus.NewEntry(log)}
+	s.feed = feed.New(feed.Config{}, nil)
+	s.stores = &storeClient{client: &http.Client{Transport: group}, log: s.log,
+		state: func() *feed.State { return &feed.State{StoreLeader: "store:1"} }}
+	s.ends = newEndSender(s.stores, s.log, tally.NoopScope, 2*time.Minute)
+	return s
+}
+
+// TestEndsAreDeliveredAfterAnOutage ends batches while the store group is down, each once. They
+// must be delivered when it is back, once each, and the queue must be empty then.
+func TestEndsAreDeliveredAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := &storeGroup{known: map[string]bool{"a": true, "b": true}, ended: map[string]int{}}
+		s := newTestServer(group)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go s.ends.run(ctx)
+		for _, id := range []string{"a", "b", "unknown"} {
+			if err := s.End(ctx, &fleet.BatchKey{Batch: id, Workspace: "w"}); !errors.Is(err, ErrOutcomeUnknown) {
+				t.Fatalf("end of %s: %v", id, err)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		group.up.Store(true)
+		s.ends.await(ctx)
+		if group.ended["a"] != 1 || group.ended["b"] != 1 || s.ends.queue.Len() != 0 {
+			t.Fatalf("ended %v, %d ends left", group.ended, s.ends.queue.Len())
+		}
+	})
+}
+
+// TestAwaitEndsIsBounded stops waiting for ends when the grace period of the process is over.
+func TestAwaitEndsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(&storeGroup{})
+		s.ends.add(endqueue.End{Batch: "a", Asked: time.Now()})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		s.ends.await(ctx)
+		if s.ends.queue.Len() != 1 {
+			t.Fatal("the end was dropped")
+		}
+	})
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -43,6 +43,7 @@
 	forwarder *forward.Forwarder
 	usage     *usage
 	stores    *storeClient
+	ends      *endSender
 	leaving   atomic.Bool
 	// stateKnown is closed once a configuration and the roster are known.
 	stateKnown     chan struct{}
@@ -60,6 +61,7 @@
 	s.feed = feed.New(feed.Config{Role: settings.RoleEntry, Host: cfg.Site.Host, Incarnation: uint64(time.Now().UnixNano()),
 		Client: cfg.Client, Log: cfg.Log, Report: s.fillReport, Changed: s.applyUpdate}, cfg.Site.ControlAddrs())
 	s.stores = &storeClient{client: cfg.Client, log: cfg.Log, state: s.feed.State}
+	s.ends = newEndSender(s.stores, cfg.Log, cfg.Scope, cfg.Site.Bounds.ResultRetention.Duration())
 	return s
 }
 
@@ -68,6 +70,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { s.feed.Run(ctx); return nil })
 	g.Go(func() error { s.closeIdle(ctx); return nil })
+	g.Go(func() error { s.ends.run(ctx); return nil })
 	return g.Wait()
 }
 
@@ -93,6 +96,10 @@
 	s.feed.ReportNow()
 }
 
+// AwaitEnds waits until the ends of batches that callers have asked for are delivered, or ctx
+// ends.
+func (s *Server) AwaitEnds(ctx context.Context) { s.ends.await(ctx) }
+
 // Leaving reports whether the host is shutting down.
 func (s *Server) Leaving() bool { return s.leaving.Load() }
 
--- /dev/null
+++ b/internal/request/endqueue/queue.go
@@ -0,0 +1,98 @@
+package endqueue
+
+import (
+	"slices"
+	"time"
+)
+
+// Limits of a queue.
+const (
+	// MaxEnds is the maximum number of ends that a queue holds. The oldest are dropped first:
+	// their items expire soonest.
+	MaxEnds = 4096
+	// MinDelay and MaxDelay bound the delay after a failed call.
+	MinDelay = 50 * time.Millisecond
+	MaxDelay = time.Second
+)
+
+// End is a request to end a batch.
+type End struct {
+	Workspace, Batch string
+	// Asked is when the caller asked for the end.
+	Asked time.Time
+}
+
+// Queue holds the ends that have not been delivered. It is not safe for concurrent use.
+type Queue struct {
+	// retention is how long an end is kept; the batch is deleted after that time.
+	retention time.Duration
+	// ends holds at most one entry for each batch of a workspace, oldest first.
+	ends []End
+	// delay is the delay after the next failure, retryAt the time of the next call.
+	delay   time.Duration
+	retryAt time.Time
+}
+
+// New returns an empty queue.
+func New(retention time.Duration) *Queue { return &Queue{retention: retention, delay: MinDelay} }
+
+// Add queues an end, unless it is queued already. The first call is due after MinDelay, since
+// the caller's own has just failed.
+func (q *Queue) Add(x End, now time.Time) (dropped []End) {
+	if q.index(x) >= 0 {
+		return nil
+	}
+	if len(q.ends) == 0 {
+		q.delay, q.retryAt = MinDelay, now.Add(MinDelay)
+	}
+	q.ends = append(q.ends, x)
+	if n := len(q.ends) - MaxEnds; n > 0 {
+		dropped = slices.Clone(q.ends[:n])
+		q.ends = slices.Delete(q.ends, 0, n)
+	}
+	return dropped
+}
+
+func (q *Queue) index(x End) int {
+	return slices.IndexFunc(q.ends, func(e End) bool { return e.Workspace == x.Workspace && e.Batch == x.Batch })
+}
+
+// Next returns the end to send now, or how long to wait for the next one; ok is false while
+// none is due. The wait is zero if the queue is empty.
+func (q *Queue) Next(now time.Time) (x End, wait time.Duration, ok bool) {
+	switch {
+	case len(q.ends) == 0:
+		return End{}, 0, false
+	case now.Before(q.retryAt):
+		return End{}, q.retryAt.Sub(now), false
+	}
+	return q.ends[0], 0, true
+}
+
+// Delivered removes an end; all others are due at once.
+func (q *Queue) Delivered(x End) {
+	if i := q.index(x); i >= 0 {
+		q.ends = slices.Delete(q.ends, i, i+1)
+	}
+	q.delay, q.retryAt = MinDelay, time.Time{}
+}
+
+// Failed postpones all ends after a call that got no clear answer.
+func (q *Queue) Failed(now time.Time) {
+	q.retryAt = now.Add(q.delay)
+	q.delay = min(2*q.delay, MaxDelay)
+}
+
+// Expire removes and returns the ends that are older than the retention.
+func (q *Queue) Expire(now time.Time) []End {
+	n := 0
+	for n < len(q.ends) && now.Sub(q.ends[n].Asked) > q.retention {
+		n++
+	}
+	expired := slices.Clone(q.ends[:n])
+	q.ends = slices.Delete(q.ends, 0, n)
+	return expired
+}
+
+// Len returns the number of ends that have not been delivered.
+func (q *Queue) Len() int { return len(q.ends) }
