Bound the redirects of a call to the store group

Callers saw: a call about a batch, an end among them, got no answer while two store hosts named each other as the leader.

Cause: after a redirect the call went on at once and passed by the checks of its deadline and of its caller. Read in the code; not traced to an incident.

Change: both checks come first, and two redirects in a row are followed without a delay. TestRedirectsEndWithTheCall failed before ("the call still goes round after 2580 requests", one each ms) and passes now.

--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -27,6 +27,9 @@
 	leaderSearchTimeout = 2500 * time.Millisecond
 	// leaderRetryDelay is the delay between two attempts.
 	leaderRetryDelay = 40 * time.Millisecond
+	// maxRedirects is how many redirects in a row are followed without a delay. While there
+	// is no leader, hosts may name each other.
+	maxRedirects = 2
 )
 
 // Errors of the calls about batches.
@@ -75,8 +78,9 @@
 // search calls store hosts until the leader has answered.
 func (c *storeClient) search(ctx context.Context, deadline time.Time, o *callOutcome, wait time.Duration, f func(context.Context, fleet.Batches) error) error {
 	err := errNoStoreAddress
-	addr, attempts := c.state().StoreLeader, 0
+	addr, attempts, redirects := c.state().StoreLeader, 0, 0
 	for {
+		lead := ""
 		if addr != "" {
 			o.Attempts, o.Addr = o.Attempts+1, addr
 			err = c.callOnce(ctx, addr, wait, f)
@@ -87,9 +91,8 @@
 			case errors.As(err, &e) && (e.Code() == twirp.NotFound || e.Code() == twirp.InvalidArgument):
 				return err
 			case errors.As(err, &e) && e.Code() == twirp.FailedPrecondition:
-				if lead := e.Meta(feed.LeaderMeta); lead != "" && lead != addr {
-					addr = lead
-					continue
+				if lead = e.Meta(feed.LeaderMeta); lead == addr {
+					lead = ""
 				}
 			case !unsent(err):
 				o.Definite = false
@@ -98,6 +101,12 @@
 		if ctx.Err() != nil || time.Now().After(deadline) {
 			return errors.Join(err, ctx.Err())
 		}
+		if lead != "" && redirects < maxRedirects {
+			addr = lead
+			redirects++
+			continue
+		}
+		redirects = 0
 		time.Sleep(leaderRetryDelay)
 		addr = c.nextAddr(attempts)
 		attempts++
--- a/internal/process/gateway/batches_test.go
+++ b/internal/process/gateway/batches_test.go
@@ -6,8 +6,10 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/twitchtv/twirp"
@@ -60,3 +62,53 @@
 		})
 	}
 }
+
+// TestRedirectsEndWithTheCall calls two store hosts that name each other as the leader, as hosts do
+// that both have lost it. The call must end with its caller and with its search.
+func TestRedirectsEndWithTheCall(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		timeout time.Duration
+	}{
+		{"search", time.Hour},
+		{"caller", time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+				defer cancel()
+				var calls atomic.Int32
+				var elected atomic.Bool
+				done := make(chan struct{})
+				other := map[string]string{"store:1": "store:2", "store:2": "store:1"}
+				s := &storeClient{log: logrus.NewEntry(logrus.New()), state: func() *feed.State { return &feed.State{StoreLeader: "store:1"} }}
+				s.client = &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+					calls.Add(1)
+					time.Sleep(time.Millisecond)
+					w := httptest.NewRecorder()
+					if !elected.Load() {
+						err := twirp.NewError(twirp.FailedPrecondition, "not the leader").WithMeta(feed.LeaderMeta, other[r.URL.Host])
+						_ = twirp.WriteError(w, err)
+					}
+					return w.Result(), nil
+				})}
+				go func() {
+					_, _ = s.end(ctx, &fleet.BatchKey{Batch: "b"})
+					close(done)
+				}()
+				time.Sleep(min(c.timeout, leaderSearchTimeout) + 2*leaderRetryDelay)
+				select {
+				case <-done:
+				default:
+					t.Errorf("the call still goes round after %d requests", calls.Load())
+				}
+				elected.Store(true)
+				<-done
+			})
+		})
+	}
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
