Bound the redirects between control processes that name each other

Seen while looking elsewhere for the loop of calls to the store group: a host whose control processes both name the other one as leader polled them without a delay, while they were to elect one. TestControlsThatNameEachOther failed before (2000 calls in 2 s at 1 ms a call, 201 allowed) and passes now: two redirects in a row, then the usual delay.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -35,6 +35,9 @@
 	// retryMin and retryMax bound the delay after a failed call.
 	retryMin = 30 * time.Millisecond
 	retryMax = 300 * time.Millisecond
+	// maxRedirects is how many redirects in a row are followed without a delay. While there
+	// is no leader, processes may name each other.
+	maxRedirects = 2
 )
 
 // LeaderMeta is the key of the error metadata that holds the leader's address.
@@ -93,6 +96,8 @@
 	leader    string
 	confirmed bool
 	next      int
+	// redirects is the number of redirects in a row that were followed.
+	redirects int
 	// failedAt is when a process last failed to answer.
 	failedAt map[string]time.Time
 	// cancelPoll ends the current call.
@@ -217,12 +222,18 @@
 }
 
 // redirect selects the leader that the process at addr has named for the next call. It
-// returns false if no other process was named, or if that process is in cooldown.
+// returns false if no other process was named, if that process is in cooldown, or after
+// maxRedirects redirects in a row.
 func (f *Feed) redirect(addr, leader string) bool {
+	if f.redirects >= maxRedirects {
+		f.redirects = 0
+		return false
+	}
 	if leader == "" || leader == addr || leader == f.cfg.Self || time.Since(f.failedAt[leader]) <= failedCooldown {
 		return false
 	}
 	f.leader = leader
+	f.redirects++
 	return true
 }
 
@@ -237,6 +248,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leader, f.confirmed = addr, true
+	f.redirects = 0
 	delete(f.failedAt, addr)
 	if f.disconnected {
 		f.disconnected = false
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -174,3 +175,34 @@
 		return s.Table.Config.Version == 8 && s.Roster == 9 && s.StoreLeader == "store"
 	})
 }
+
+// TestControlsThatNameEachOther polls two control processes that both have lost the leader and
+// name each other. Each retry delay may be followed by maxRedirects further calls.
+func TestControlsThatNameEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const period = 2 * time.Second
+		other := map[string]string{"c1:1": "c2:1", "c2:1": "c1:1"}
+		calls := 0
+		client := &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+			calls++
+			time.Sleep(time.Millisecond)
+			w := httptest.NewRecorder()
+			_ = twirp.WriteError(w, twirp.NewError(twirp.FailedPrecondition, "not the leader").WithMeta(LeaderMeta, other[r.URL.Host]))
+			return w.Result(), nil
+		})}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		f := New(Config{Host: "h", Incarnation: 1, Client: client, Log: logrus.NewEntry(log), Report: func(*fleet.Report) {},
+			Changed: func(*State) {}}, []string{"c1:1", "c2:1"})
+		ctx, cancel := context.WithTimeout(context.Background(), period)
+		defer cancel()
+		f.Run(ctx)
+		if most := (1 + maxRedirects) * (1 + int(period/retryMin)); calls > most {
+			t.Errorf("%d calls in %v, want at most %d", calls, period, most)
+		}
+	})
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
