Search for the store leader beside a host that does not answer

Callers saw: the end of a batch (and any other call about one) got 502 after 2.8 s, although another store host led already.

Cause: after a call to the host that control names as the leader, the search went to that host again and then to the first of the list. If the silent host is both, all three calls of 0.9 s went to it.

Change: a search never calls the host that it has just called while another one is known. TestCallFindsTheLeaderBesideASilentHost failed for the first host (three calls to s0, 2780 ms, virtual time) and passes for each now.

--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -108,18 +108,29 @@
 		}
 		redirects = 0
 		time.Sleep(leaderRetryDelay)
-		addr = c.nextAddr(attempts)
+		addr = c.nextAddr(addr, attempts)
 		attempts++
 	}
 }
 
-// nextAddr alternates between the leader that control names and the other store hosts.
-func (c *storeClient) nextAddr(attempts int) string {
+// nextAddr alternates between the other store hosts and the leader that control names. It never
+// returns the last address while another one is known: a host that does not answer takes a large
+// part of the search.
+func (c *storeClient) nextAddr(last string, attempts int) string {
 	st := c.state()
-	if attempts%2 == 0 || len(st.Stores) == 0 {
+	if attempts%2 == 1 && st.StoreLeader != last {
 		return st.StoreLeader
 	}
-	return st.Stores[attempts/2%len(st.Stores)].Addr
+	var others []string
+	for _, h := range st.Stores {
+		if h.Addr != last {
+			others = append(others, h.Addr)
+		}
+	}
+	if len(others) == 0 {
+		return st.StoreLeader
+	}
+	return others[attempts/2%len(others)]
 }
 
 func (c *storeClient) callOnce(ctx context.Context, addr string, wait time.Duration, f func(context.Context, fleet.Batches) error) error {
--- a/internal/process/gateway/batches_test.go
+++ b/internal/process/gateway/batches_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -87,8 +88,7 @@
 					time.Sleep(time.Millisecond)
 					w := httptest.NewRecorder()
 					if !elected.Load() {
-						err := twirp.NewError(twirp.FailedPrecondition, "not the leader").WithMeta(feed.LeaderMeta, other[r.URL.Host])
-						_ = twirp.WriteError(w, err)
+						_ = twirp.WriteError(w, notLeader(other[r.URL.Host]))
 					}
 					return w.Result(), nil
 				})}
@@ -109,6 +109,49 @@
 	}
 }
 
+// TestCallFindsTheLeaderBesideASilentHost ends a batch while the host that control names as the
+// leader accepts connections and never answers, as a frozen one does, and another store host
+// leads already. The call must reach it, whichever of the hosts is the silent one.
+func TestCallFindsTheLeaderBesideASilentHost(t *testing.T) {
+	stores := []string{"s0", "s1", "s2"}
+	for silent, old := range stores {
+		t.Run("silent "+old, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lead := stores[(silent+1)%3]
+				var called []string
+				start := time.Now()
+				st := &feed.State{StoreLeader: old}
+				for _, addr := range stores {
+					st.Stores = append(st.Stores, &fleet.Host{Name: addr, Addr: addr})
+				}
+				c := &storeClient{log: logrus.NewEntry(logrus.New()), state: func() *feed.State { return st }}
+				c.client = &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+					called = append(called, fmt.Sprintf("%s at %d ms", r.URL.Host, time.Since(start).Milliseconds()))
+					w := httptest.NewRecorder()
+					switch r.URL.Host {
+					case old:
+						<-r.Context().Done()
+						return nil, r.Context().Err()
+					case lead:
+						w.Header().Set("Content-Type", "application/protobuf")
+					default:
+						_ = twirp.WriteError(w, notLeader(lead))
+					}
+					return w.Result(), nil
+				})}
+				if _, err := c.end(context.Background(), &fleet.BatchKey{Batch: "b"}); err != nil {
+					t.Errorf("the call failed after %d ms, calls %v: %v", time.Since(start).Milliseconds(), called, err)
+				}
+			})
+		})
+	}
+}
+
+// notLeader is the error of a store host that names another one as the leader.
+func notLeader(lead string) error {
+	return twirp.NewError(twirp.FailedPrecondition, "not the leader").WithMeta(feed.LeaderMeta, lead)
+}
+
 type roundTripper func(*http.Request) (*http.Response, error)
 
 func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
