Let the end of a batch that is not known go through the log

Callers saw: an end that came while the submission of its batch was in the leader's log and not committed yet got 404; the batch was accepted afterwards, and its items ran.

Cause: the store leader looked for the batch in the state that it had applied, and answered from there.

Change: an end of an unknown batch is proposed behind what is in the log, and answered by what is known then. Its entry names the workspace, since the batch that it meets may be another's.

--- a/internal/process/store/batches.go
+++ b/internal/process/store/batches.go
@@ -162,23 +162,24 @@
 	return content, nil
 }
 
-// End ends a batch; its open items are not run any more.
+// End ends a batch; its open items are not run any more. The end of a batch that is not known
+// goes through the log as well, since its submission may be in the log and not committed yet.
 func (s *Server) End(ctx context.Context, q *fleet.BatchKey) (*fleet.Nothing, error) {
-	known, ended, listed := false, false, 0
-	err := s.onLeader(ctx, func() {
-		b := s.batches.Get(q.Batch)
-		known = b != nil && b.Workspace == q.Workspace
-		if known {
-			ended, listed = b.Ended, len(b.Results)
-		}
-	})
-	if err == nil && !known {
+	before, err := s.lookUp(ctx, q)
+	if err == nil && before.foreign {
 		return nil, twirp.NotFoundError("no such batch")
 	}
-	if err == nil && !ended {
-		err = s.proposeWithin(ctx, &batch.Command{End: q.Batch})
+	after := before
+	if err == nil && !before.ended {
+		err = s.proposeWithin(ctx, &batch.Command{End: q.Batch, Workspace: &q.Workspace})
 	}
-	entry := s.log.WithFields(logrus.Fields{"batch": q.Batch, "listed": listed, "ended_before": ended})
+	if err == nil && !before.known {
+		after, err = s.lookUp(ctx, q)
+	}
+	if err == nil && !after.known {
+		return nil, twirp.NotFoundError("no such batch")
+	}
+	entry := s.log.WithFields(logrus.Fields{"batch": q.Batch, "listed": after.listed, "ended_before": before.ended, "known_before": before.known})
 	if err != nil {
 		entry.WithError(err).Warn("batch not ended")
 		return nil, toTwirpError(err)
@@ -187,6 +188,28 @@
 	return &fleet.Nothing{}, nil
 }
 
+// batchStatus describes a batch as a caller of a workspace may see it. A foreign batch is one of
+// another workspace; it is not known.
+type batchStatus struct {
+	known, foreign, ended bool
+	listed                int
+}
+
+// lookUp returns the status of a batch at the leader.
+func (s *Server) lookUp(ctx context.Context, q *fleet.BatchKey) (x batchStatus, err error) {
+	err = s.onLeader(ctx, func() {
+		b := s.batches.Get(q.Batch)
+		switch {
+		case b == nil:
+		case b.Workspace != q.Workspace:
+			x.foreign = true
+		default:
+			x = batchStatus{known: true, ended: b.Ended, listed: len(b.Results)}
+		}
+	})
+	return x, err
+}
+
 // toTwirpError converts an error to a Twirp error.
 func toTwirpError(err error) error {
 	var notLeader *NotLeaderError
--- /dev/null
+++ b/internal/process/store/ends_test.go
@@ -0,0 +1,184 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/plantainbank/plantainbank/internal/request/batch"
+	"github.com/plantainbank/plantainbank/pkg/process/disk"
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
+	"github.com/plantainbank/plantainbank/pkg/request/attempt"
+	"github.com/plantainbank/plantainbank/service/fleet"
+)
+
+// slowStore is the replica of a store process whose disk syncs take at least syncTime, and which
+// gets no calls while cut is set.
+type slowStore struct {
+	*Server
+	syncTime atomic.Int64
+	cut      atomic.Bool
+}
+
+// startGroup runs the replicas of three store processes that form a group, and returns the leader
+// and the others.
+func startGroup(t *testing.T) (lead *slowStore, others []*slowStore) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	var all []*slowStore
+	var members quorum.Members
+	for range 3 {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := lis.Addr().(*net.TCPAddr).Port
+		x := &slowStore{}
+		files := disk.RealFiles()
+		sync := files.Sync
+		files.Sync = func(f *os.File) error {
+			time.Sleep(time.Duration(x.syncTime.Load()))
+			return sync(f)
+		}
+		x.Server, err = New(Config{Site: settings.Site{Role: settings.RoleStore, Host: lis.Addr().String(), IP: "127.0.0.1", Ports: []int{port, port},
+			DataDir: t.TempDir(), MaxLostHosts: 1}, Log: logrus.NewEntry(log), Scope: tally.NoopScope, Files: files,
+			Timing: quorum.StallTolerantTiming(), Client: &http.Client{Transport: &http.Transport{}}, Engines: attempt.NewClient()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		handler := x.Handler()
+		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if x.cut.Load() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			handler.ServeHTTP(w, r)
+		})}
+		go srv.Serve(lis)
+		stopped := make(chan struct{})
+		go func() { defer close(stopped); _ = x.replica.Run(ctx) }()
+		t.Cleanup(func() { cancel(); <-stopped; srv.Close(); x.Close() })
+		all = append(all, x)
+		members = append(members, quorum.Member{ID: quorum.NodeID(x.replica.Disk()), Addr: x.cfg.Site.InternalAddr()})
+	}
+	if err := all[0].replica.Bootstrap(ctx, members); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for i, x := range all {
+			if _, _, ok := x.replica.Node().HoldsLease(); ok {
+				return x, append(all[:i:i], all[i+1:]...)
+			}
+		}
+	}
+	t.Fatal("no store process was elected")
+	return nil, nil
+}
+
+// TestEndOfABatchThatIsBeingAccepted ends a batch while its submission is in the leader's log and
+// not committed yet, since the disks of the other replicas are slow. Afterwards the batch must
+// not be open, unless the end was answered with an error that asks for a repetition.
+func TestEndOfABatchThatIsBeingAccepted(t *testing.T) {
+	t.Parallel()
+	lead, others := startGroup(t)
+	for _, x := range others {
+		x.syncTime.Store(int64(300 * time.Millisecond))
+	}
+	data, err := testBatch("b", batch.Item{ID: "i", Path: "/"}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan error, 1)
+	start := time.Now()
+	go func() {
+		_, err := lead.Submit(context.Background(), &fleet.Submission{Id: "b", Batch: data})
+		accepted <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	_, endErr := lead.End(context.Background(), &fleet.BatchKey{Batch: "b", Workspace: "w"})
+	endTook := time.Since(start)
+	if err := <-accepted; err != nil {
+		t.Fatal(err)
+	}
+	open := 0
+	if err := lead.onLeader(context.Background(), func() { open = len(lead.batches.Get("b").OpenItems()) }); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("the end was answered %d ms after the start of the submission (%v), the submission after %d ms; %d items are open",
+		endTook.Milliseconds(), endErr, time.Since(start).Milliseconds(), open)
+	var e twirp.Error
+	if open > 0 && (!errors.As(endErr, &e) || e.Code() == twirp.NotFound) {
+		t.Errorf("%d items are open after the end of their batch", open)
+	}
+}
+
+// TestUnknownSubmissionIsCommittedLate cuts the leader off right before a submission, which thus
+// has an unknown outcome, and ends the batch, which no host can. When the leader and one other
+// host reach each other again, the batch is accepted, although nobody submits it again; only an
+// end after that ends it. It shows how late a submission can take effect: whoever was told that
+// an end failed must repeat it after the group has a leader again.
+func TestUnknownSubmissionIsCommittedLate(t *testing.T) {
+	t.Parallel()
+	lead, others := startGroup(t)
+	all := append([]*slowStore{lead}, others...)
+	for _, x := range all {
+		x.cut.Store(true)
+	}
+	data, err := testBatch("b", batch.Item{ID: "i", Path: "/"}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
+	defer cancel()
+	_, err = lead.Submit(ctx, &fleet.Submission{Id: "b", Batch: data})
+	t.Logf("submission after %d ms: %v", time.Since(start).Milliseconds(), err)
+	var e twirp.Error
+	if !errors.As(err, &e) || e.Code() != twirp.Unavailable {
+		t.Fatalf("the submission has no unknown outcome: %v", err)
+	}
+	time.Sleep(8 * time.Second)
+	key := &fleet.BatchKey{Batch: "b", Workspace: "w"}
+	for _, x := range all {
+		if _, err := x.End(context.Background(), key); err == nil {
+			t.Fatal("a host without a majority ended the batch")
+		}
+	}
+	lead.cut.Store(false)
+	others[0].cut.Store(false)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		open := -1
+		err := lead.onLeader(context.Background(), func() {
+			if b := lead.batches.Get("b"); b != nil {
+				open = len(b.OpenItems())
+			}
+		})
+		if err == nil {
+			t.Logf("%d ms after its submission the batch is accepted, with %d open items", time.Since(start).Milliseconds(), open)
+			if open != 1 {
+				t.Errorf("the batch has %d open items", open)
+			}
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the group has no leader")
+		}
+	}
+	if _, err := lead.End(context.Background(), key); err != nil {
+		t.Errorf("the end after the return of the leader failed: %v", err)
+	}
+}
--- a/internal/request/batch/batch.go
+++ b/internal/request/batch/batch.go
@@ -137,12 +137,14 @@
 // DueTime returns the time when all results are due.
 func (b *Batch) DueTime() time.Time { return time.UnixMilli(b.Submitted + b.Due) }
 
-// Command is one command of the replicated log. Exactly one field is set.
+// Command is one command of the replicated log. Exactly one field is set, besides Workspace.
 type Command struct {
 	Accept     *Batch      `json:"accept,omitempty"`
 	AddResults *AddResults `json:"list,omitempty"`
-	// End is the ID of a batch to end.
-	End string `json:"end,omitempty"`
+	// End is the ID of a batch to end, Workspace its workspace. The batch remains open if it is
+	// of another workspace; nil, in entries of older versions, means any.
+	End       string  `json:"end,omitempty"`
+	Workspace *string `json:"workspace,omitempty"`
 	// Drop lists the IDs of batches to delete.
 	Drop       []string    `json:"drop,omitempty"`
 	Checkpoint *Checkpoint `json:"save,omitempty"`
@@ -206,7 +208,7 @@
 	case c.AddResults != nil:
 		return s.addResults(c.AddResults), nil
 	case c.End != "":
-		return s.end(c.End), nil
+		return s.end(c.End, c.Workspace), nil
 	case c.Checkpoint != nil:
 		s.saveCheckpoint(c.Checkpoint)
 		return Effect{}, nil
@@ -254,9 +256,9 @@
 	return e
 }
 
-func (s *Store) end(id string) Effect {
+func (s *Store) end(id string, workspace *string) Effect {
 	b := s.all[id]
-	if b == nil || b.Ended {
+	if b == nil || b.Ended || workspace != nil && b.Workspace != *workspace {
 		return Effect{}
 	}
 	b.Ended = true
--- a/internal/request/batch/batch_test.go
+++ b/internal/request/batch/batch_test.go
@@ -106,3 +106,23 @@
 		t.Fatal("an ended batch must be retained for the requested time")
 	}
 }
+
+// TestEndIsForOneWorkspace checks that an end that names another workspace changes nothing, and
+// that entries of older versions, which name none, still end their batch.
+func TestEndIsForOneWorkspace(t *testing.T) {
+	own, foreign := "w", "v"
+	for _, c := range []struct {
+		name      string
+		workspace *string
+		ended     bool
+	}{{"own", &own, true}, {"foreign", &foreign, false}, {"older version", nil, true}} {
+		s := NewStore()
+		b := testBatch("a", 2)
+		b.Workspace = own
+		apply(t, s, &Command{Accept: b})
+		e := apply(t, s, &Command{End: "a", Workspace: c.workspace})
+		if got := s.Get("a").Ended; got != c.ended || (e.Ended != nil) != c.ended {
+			t.Errorf("%s: ended %v, want %v", c.name, got, c.ended)
+		}
+	}
+}
--- a/internal/request/batch/encoding.go
+++ b/internal/request/batch/encoding.go
@@ -36,7 +36,7 @@
 
 // Encode returns the Protobuf encoding of a command. All strings must be valid UTF-8.
 func (c *Command) Encode() []byte {
-	w := &batchlog.Command{End: c.End, Drop: c.Drop}
+	w := &batchlog.Command{End: c.End, Workspace: c.Workspace, Drop: c.Drop}
 	if x := c.Checkpoint; x != nil {
 		w.Save = &batchlog.Save{Batch: x.Batch, Item: x.Item, From: int64(x.Offset), Part: x.Partial.toProto()}
 	}
@@ -67,7 +67,7 @@
 	if err := proto.Unmarshal(data, w); err != nil {
 		return nil, fmt.Errorf("decode batch command: %w", err)
 	}
-	c.End, c.Drop = w.End, w.Drop
+	c.End, c.Workspace, c.Drop = w.End, w.Workspace, w.Drop
 	if w.Accept != nil {
 		c.Accept = fromProto(w.Accept)
 	}
