Drop the submission of a caller that has left

Callers saw: an entry host that was suspended while it received a batch stored it when it went on, although its caller had left, and had ended the batch at another host meanwhile (404, since nobody knew of it). The items ran.

Change: an entry host stores a batch only for a caller that still waits. Whoever has left has sent the batch to another host, or does not want it. TestSubmissionOfACallerThatLeft failed before ("an item ran whose batch had been ended") and passes now. Open: a caller whose end of the connection is lost on its way.

--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -159,12 +159,17 @@
 }
 
 // Submit stores a batch, once. The error is ErrNotStored if it is definitely not stored,
-// and ErrOutcomeUnknown if it may be.
-func (s *Server) Submit(ctx context.Context, x *batch.Batch) error {
+// and ErrOutcomeUnknown if it may be. A batch whose caller has disconnected is not stored: this
+// process may have been suspended since it received the batch, and the caller may have ended it.
+func (s *Server) Submit(ctx context.Context, x *batch.Batch, disconnected func() bool) error {
 	data, err := x.Encode()
 	if err != nil {
 		return err
 	}
+	if disconnected() {
+		s.log.WithField("batch", x.ID).Info("batch dropped, its caller has disconnected")
+		return ErrNotStored
+	}
 	o, err := s.stores.call(ctx, 0, func(ctx context.Context, c fleet.Batches) error {
 		_, err := c.Submit(ctx, &fleet.Submission{Id: x.ID, Batch: data})
 		return err
