Let an end that always fails not hold up the others

Found when the queue of undelivered ends was read again: an end whose own call always fails, for example since its batch ID is not valid UTF-8, stayed first in the queue until it expired after two minutes, and no other end was sent. A failed end now moves behind the others, and an invalid ID is answered with 404. TestFailingEndHoldsUpNoOther failed before (3 ends left of 3).

--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
 	"github.com/twitchtv/twirp"
@@ -239,6 +240,9 @@
 // End ends a batch; its open items are not run any more. If the error is ErrOutcomeUnknown, the
 // end is delivered once the store group has a leader.
 func (s *Server) End(ctx context.Context, q *fleet.BatchKey) error {
+	if !utf8.ValidString(q.Batch) {
+		return ErrNoBatch // it cannot be encoded, so no batch has this ID
+	}
 	asked := time.Now()
 	o, err := s.stores.end(ctx, q)
 	switch {
--- a/internal/process/gateway/ends.go
+++ b/internal/process/gateway/ends.go
@@ -85,7 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil && known {
-		s.queue.Failed(now)
+		s.queue.Failed(x, now)
 		return
 	}
 	s.queue.Delivered(x)
--- a/internal/process/gateway/ends_test.go
+++ b/internal/process/gateway/ends_test.go
@@ -94,3 +94,11 @@
 		}
 	})
 }
+
+// TestEndWithoutValidID checks that an ID that cannot be encoded is answered at once.
+func TestEndWithoutValidID(t *testing.T) {
+	s := newTestServer(&storeGroup{})
+	if err := s.End(context.Background(), &fleet.BatchKey{Batch: "\xff"}); !errors.Is(err, ErrNoBatch) || s.ends.queue.Len() != 0 {
+		t.Fatalf("%v, %d ends queued", err, s.ends.queue.Len())
+	}
+}
--- a/internal/request/endqueue/queue.go
+++ b/internal/request/endqueue/queue.go
@@ -7,8 +7,8 @@
 
 // Limits of a queue.
 const (
-	// MaxEnds is the maximum number of ends that a queue holds. The oldest are dropped first:
-	// their items expire soonest.
+	// MaxEnds is the maximum number of ends that a queue holds. Those that were asked for first
+	// are dropped first: their items expire soonest.
 	MaxEnds = 4096
 	// MinDelay and MaxDelay bound the delay after a failed call.
 	MinDelay = 50 * time.Millisecond
@@ -26,7 +26,7 @@
 type Queue struct {
 	// retention is how long an end is kept; the batch is deleted after that time.
 	retention time.Duration
-	// ends holds at most one entry for each batch of a workspace, oldest first.
+	// ends holds at most one entry for each batch of a workspace, in the order of the calls.
 	ends []End
 	// delay is the delay after the next failure, retryAt the time of the next call.
 	delay   time.Duration
@@ -46,13 +46,24 @@
 		q.delay, q.retryAt = MinDelay, now.Add(MinDelay)
 	}
 	q.ends = append(q.ends, x)
-	if n := len(q.ends) - MaxEnds; n > 0 {
-		dropped = slices.Clone(q.ends[:n])
-		q.ends = slices.Delete(q.ends, 0, n)
+	for len(q.ends) > MaxEnds {
+		i := q.oldest()
+		dropped = append(dropped, q.ends[i])
+		q.ends = slices.Delete(q.ends, i, i+1)
 	}
 	return dropped
 }
 
+func (q *Queue) oldest() int {
+	oldest := 0
+	for i, x := range q.ends {
+		if x.Asked.Before(q.ends[oldest].Asked) {
+			oldest = i
+		}
+	}
+	return oldest
+}
+
 func (q *Queue) index(x End) int {
 	return slices.IndexFunc(q.ends, func(e End) bool { return e.Workspace == x.Workspace && e.Batch == x.Batch })
 }
@@ -77,20 +88,25 @@
 	q.delay, q.retryAt = MinDelay, time.Time{}
 }
 
-// Failed postpones all ends after a call that got no clear answer.
-func (q *Queue) Failed(now time.Time) {
+// Failed postpones all ends after a call that got no clear answer, and moves the end of that call
+// behind the others, in case the failure is its own.
+func (q *Queue) Failed(x End, now time.Time) {
+	if i := q.index(x); i >= 0 {
+		q.ends = append(slices.Delete(q.ends, i, i+1), x)
+	}
 	q.retryAt = now.Add(q.delay)
 	q.delay = min(2*q.delay, MaxDelay)
 }
 
 // Expire removes and returns the ends that are older than the retention.
-func (q *Queue) Expire(now time.Time) []End {
-	n := 0
-	for n < len(q.ends) && now.Sub(q.ends[n].Asked) > q.retention {
-		n++
-	}
-	expired := slices.Clone(q.ends[:n])
-	q.ends = slices.Delete(q.ends, 0, n)
+func (q *Queue) Expire(now time.Time) (expired []End) {
+	q.ends = slices.DeleteFunc(q.ends, func(x End) bool {
+		old := now.Sub(x.Asked) > q.retention
+		if old {
+			expired = append(expired, x)
+		}
+		return old
+	})
 	return expired
 }
 
--- a/internal/request/endqueue/queue_test.go
+++ b/internal/request/endqueue/queue_test.go
@@ -34,7 +34,7 @@
 		case now.Sub(start) < outage:
 			r.calls++
 			now = now.Add(callTime)
-			q.Failed(now)
+			q.Failed(x, now)
 		default:
 			now = now.Add(3 * time.Millisecond)
 			q.Delivered(x)
@@ -101,3 +101,28 @@
 		t.Fatalf("%d expired, %d left", len(expired), q.Len())
 	}
 }
+
+// TestFailingEndHoldsUpNoOther replays a queue in which the first end fails at each call.
+func TestFailingEndHoldsUpNoOther(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := New(time.Minute)
+	for _, id := range []string{"failing", "a", "b"} {
+		q.Add(End{Batch: id, Asked: now}, now)
+	}
+	for end := now.Add(5 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		x, _, ok := q.Next(now)
+		switch {
+		case !ok:
+		case x.Batch == "failing":
+			q.Failed(x, now)
+		default:
+			q.Delivered(x)
+		}
+	}
+	if q.Len() != 1 {
+		t.Errorf("%d ends are left, want the failing one", q.Len())
+	}
+	if expired := q.Expire(now.Add(time.Minute)); len(expired) != 1 || expired[0].Batch != "failing" {
+		t.Errorf("expired %v", expired)
+	}
+}
