Accept calls about a batch under a host that has left the configuration

Callers saw: after all routes had moved to another host, the end of a batch that was submitted under the old one got 404, and its items ran on, by the name of their route.

Cause: a path of the calls about batches counted as one only under a host that has a route now.

Change: such a path is a call about a batch under any host; key and workspace decide, as before. TestEndAfterItsHostLeftTheConfiguration failed before ("the end got 404") and passes now.

--- a/internal/version/routing/table.go
+++ b/internal/version/routing/table.go
@@ -55,8 +55,6 @@
 	return nil
 }
 
-// HasHost reports whether any route has the host.
-func (t *Table) HasHost(host string) bool { return len(t.byHost[host]) > 0 }
 
 // Service returns the service with a name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
