--- a/internal/version/routing/table.go
+++ b/internal/version/routing/table.go
@@ -55,7 +55,6 @@
 	return nil
 }
 
-
 // Service returns the service with a name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
