Name the content of a request in the log when its server ended the connection

A request that crashes the servers that run it was answered 502 again and again, while ordinary callers got 503. The log did not show whether one content came repeatedly, whether unrelated servers ended, or whether one caller attempt was retried: 'attempt failed' has the ID of the caller attempt only, and each repeat has its own.

'attempt failed' and 'stream broke' now have a fingerprint of the request (workspace, method, host, path, body) if the server ended the connection. Timeouts, cancellations and failed connects have none; most requests need no hash.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -16,6 +16,7 @@
 
 	"github.com/plantainbank/plantainbank/internal/connection/httpheader"
 	"github.com/plantainbank/plantainbank/internal/connection/placement"
+	"github.com/plantainbank/plantainbank/internal/request/quarantine"
 	"github.com/plantainbank/plantainbank/internal/version/routing"
 	"github.com/plantainbank/plantainbank/pkg/request/attempt"
 )
@@ -120,6 +121,26 @@
 	start         time.Time
 	// lastFailure is the last 5xx response after which another attempt was allowed.
 	lastFailure *Response
+	// print is nil until fingerprint is called.
+	print *quarantine.Fingerprint
+}
+
+func newRequestState(r *Request) *requestState {
+	s := &requestState{Request: r, start: time.Now(), avoid: r.Avoid}
+	if s.avoid == nil {
+		s.avoid = map[string]bool{}
+	}
+	return s
+}
+
+// fingerprint returns the fingerprint of the request. It is computed when it is first needed,
+// since most requests need none.
+func (s *requestState) fingerprint() quarantine.Fingerprint {
+	if s.print == nil {
+		p := quarantine.FingerprintOf(s.Workspace, s.Raw)
+		s.print = &p
+	}
+	return *s.print
 }
 
 // Do forwards a request and returns the response to it.
@@ -130,10 +151,7 @@
 		stop()
 		cancel(nil)
 	}
-	s := &requestState{Request: r, start: time.Now(), avoid: r.Avoid}
-	if s.avoid == nil {
-		s.avoid = map[string]bool{}
-	}
+	s := newRequestState(r)
 	a := f.do(ctx, s)
 	f.recordOutcome(s, a)
 	if a.Stream != nil {
@@ -344,8 +362,11 @@
 		s.started = true
 	}
 	f.cfg.Scope.Counter("attempts_failed").Inc(1)
-	f.cfg.Log.WithFields(logrus.Fields{"request": s.ID, "instance": slot.ID, "sent": s.sent,
-		"took_ms": now.Sub(slot.Taken).Milliseconds()}).WithError(err).Info("attempt failed")
+	fields := logrus.Fields{"request": s.ID, "instance": slot.ID, "sent": s.sent, "took_ms": now.Sub(slot.Taken).Milliseconds()}
+	if attempt.ClosedByServer(err) {
+		fields["fingerprint"] = s.fingerprint().String()
+	}
+	f.cfg.Log.WithFields(fields).WithError(err).Info("attempt failed")
 }
 
 // attemptRefused records an attempt that the server did not execute.
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -51,8 +51,11 @@
 			return nil
 		}
 		if x.ctx.Err() != nil || !x.resume(err) {
-			x.f.cfg.Log.WithFields(logrus.Fields{"request": x.s.ID, "instance": x.slot.ID, "events": x.events}).
-				WithError(err).Info("stream broke")
+			fields := logrus.Fields{"request": x.s.ID, "instance": x.slot.ID, "events": x.events}
+			if x.ctx.Err() == nil && attempt.ClosedByServer(err) {
+				fields["fingerprint"] = x.s.fingerprint().String()
+			}
+			x.f.cfg.Log.WithFields(fields).WithError(err).Info("stream broke")
 			return err
 		}
 	}
--- a/pkg/request/attempt/attempt.go
+++ b/pkg/request/attempt/attempt.go
@@ -18,6 +18,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -57,6 +58,18 @@
 
 func (e *Error) Unwrap() error { return e.Err }
 
+// ClosedByServer reports whether an attempt failed because the server ended the connection
+// while it may have been running the request, as in a crash. Timeouts, cancellations, failed
+// connects and responses of other requests do not count.
+func ClosedByServer(err error) bool {
+	var e *Error
+	if errors.As(err, &e) && e.Ran == RanNo {
+		return false
+	}
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, syscall.EPIPE)
+}
+
 // Timeouts and limits of connections.
 const (
 	connectTimeout = time.Second
--- a/pkg/request/attempt/attempt_test.go
+++ b/pkg/request/attempt/attempt_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -279,3 +280,50 @@
 		t.Fatalf("%d connections for three requests, want 1", n)
 	}
 }
+
+// TestClosedByServer distinguishes a connection that the server ended from all other failures.
+func TestClosedByServer(t *testing.T) {
+	part := "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"
+	chunk := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+	for _, c := range []struct {
+		name     string
+		response string
+		reset    bool
+		hang     bool
+		want     bool
+	}{
+		{name: "close before the response", want: true},
+		{name: "reset before the response", reset: true, want: true},
+		{name: "close in the headers", response: "HTTP/1.1 200 OK\r\nConte", want: true},
+		{name: "close in the body", response: part, want: true},
+		{name: "reset in the body", response: part, reset: true, want: true},
+		{name: "close between chunks", response: chunk, want: true},
+		{name: "close in a chunk", response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc", want: true},
+		{name: "silence before the response", hang: true},
+		{name: "silence in the body", response: part, hang: true},
+		{name: "body over the limit", response: "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n"},
+		{name: "no response at all", response: "garbage without an end\r\n\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := serve(t, func(conn net.Conn, _ int) bool {
+				io.WriteString(conn, c.response)
+				if c.reset {
+					conn.(*net.TCPConn).SetLinger(0)
+				}
+				if c.hang {
+					select {}
+				}
+				return false
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			_, err := NewClient().Do(ctx, s.lis.Addr().String(), post("x"), Options{MaxBodyBytes: 1000})
+			if err == nil || ClosedByServer(err) != c.want {
+				t.Fatalf("error %v, closed by server %v, want %v", err, ClosedByServer(err), c.want)
+			}
+		})
+	}
+	if ClosedByServer(&Error{Phase: "connect", Ran: RanNo, Err: syscall.ECONNRESET}) {
+		t.Error("a failed connect counts as closed by the server")
+	}
+}
