Refuse a request under which three servers have ended

Ordinary callers got 503.

Cause: a retry limit holds within one attempt of a caller at one process. The request came again under new IDs at all entry hosts, and nobody counted the servers that ended under its content. Class: a budget that is scoped to a call, while the fault follows the content of the request.

Change: an entry host reports under which request, by a fingerprint of workspace, method, host, path and body, a server ended its connection. The control leader merges the reports and publishes them through the feed. Once three servers ended under a request, every entry host answers it 429 with Retry-After and sends it to no server, but for two trials. A request that is served is cleared, and an end is withdrawn if the server is heard of later. Items of batches and calls of scorers are exempt.

On the way: ReportNow missed a call whose report was made already (TestReportNowDuringReport).

--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -17,6 +17,7 @@
 	"github.com/plantainbank/plantainbank/internal/process/feed"
 	"github.com/plantainbank/plantainbank/internal/process/roster"
 	"github.com/plantainbank/plantainbank/internal/process/weights"
+	"github.com/plantainbank/plantainbank/internal/request/quarantine"
 	"github.com/plantainbank/plantainbank/pkg/process/disk"
 	"github.com/plantainbank/plantainbank/pkg/process/quorum"
 	"github.com/plantainbank/plantainbank/pkg/process/replica"
@@ -93,6 +94,9 @@
 	feed       *feed.Feed
 	catalog    *catalog.Catalog
 	leadership *leadership
+	// quarantine holds the requests under which servers ended. It outlives a leadership; other
+	// processes that lead send their copy.
+	quarantine *quarantine.Table
 	// started is the start time of the process.
 	started time.Time
 	// changed is closed and replaced to make waiting calls check the state again.
@@ -101,7 +105,8 @@
 
 // New opens the data directory. Close releases it.
 func New(cfg Config) (*Server, error) {
-	s := &Server{cfg: cfg, log: cfg.Log, catalog: catalog.New(), started: time.Now(), changed: make(chan struct{})}
+	s := &Server{cfg: cfg, log: cfg.Log, catalog: catalog.New(), quarantine: quarantine.NewTable(maxQuarantineRecords),
+		started: time.Now(), changed: make(chan struct{})}
 	r, err := replica.New(replica.Config{
 		Dir: cfg.Site.DataDir, Self: cfg.Site.InternalAddr(), Replicas: cfg.Site.Replicas(), Files: cfg.Files, Timing: cfg.Timing,
 		Client: cfg.Client, Log: cfg.Log,
@@ -117,8 +122,8 @@
 	}
 	s.replica = r
 	s.feed = feed.New(feed.Config{Role: settings.RoleControl, Host: cfg.Site.Host, Incarnation: uint64(time.Now().UnixNano()),
-		Client: cfg.Client, Log: cfg.Log, Self: cfg.Site.InternalAddr(), Report: s.fillReport, Changed: func(*feed.State) {}},
-		cfg.Site.ControlAddrs())
+		Client: cfg.Client, Log: cfg.Log, Self: cfg.Site.InternalAddr(), Report: s.fillReport, Changed: func(*feed.State) {},
+		Quarantine: func(cases []*fleet.Case) { s.quarantine.Merge(cases, time.Now()) }}, cfg.Site.ControlAddrs())
 	return s, nil
 }
 
--- a/internal/process/director/operator.go
+++ b/internal/process/director/operator.go
@@ -73,6 +73,9 @@
 	return s.onLeader(ctx, func(l *leadership) error {
 		before := l.roster.Revision
 		newer := l.roster.Announce(x, time.Now())
+		if newer {
+			s.heardOf(x, time.Now())
+		}
 		s.rosterChanged(l, before, x.ID, string(x.State), newer)
 		return nil
 	})
--- a/internal/process/director/tasks.go
+++ b/internal/process/director/tasks.go
@@ -54,6 +54,7 @@
 func (s *Server) runDueTasks(ctx context.Context, l *leadership, now time.Time) {
 	before := l.roster.Revision
 	l.roster.Expire(now)
+	s.quarantine.Expire(now)
 	if l.roster.Revision != before {
 		s.notify()
 	}
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -110,10 +110,11 @@
 }
 
 // handleReport records a report and wakes all waiting calls if the leader of the store
-// group has changed.
+// group or a quarantine has changed.
 func (s *Server) handleReport(l *leadership, q *fleet.Report, now time.Time) {
 	before := storeLeaderAddr(l, now)
 	l.recordReport(q, now)
+	s.mergeCases(q.Host.Name, q.Cases, now)
 	if storeLeaderAddr(l, now) != before {
 		s.notify()
 	}
@@ -127,7 +128,7 @@
 }
 
 func (s *Server) hasUpdate(l *leadership, q *fleet.Report, now time.Time) bool {
-	return q.Leaving || q.Catalog < s.catalog.Revision || s.needsRoster(l, q, now)
+	return q.Leaving || q.Catalog < s.catalog.Revision || s.needsRoster(l, q, now) || q.Quarantine < s.quarantineRevision(l, q.Role)
 }
 
 // needsRoster reports whether a host should get the roster. A host without one gets it
@@ -151,6 +152,9 @@
 	if s.needsRoster(l, q, now) {
 		n.Roster, n.Instances = l.rosterRevision(q.Role), encode(l.instancesFor(q.Role))
 	}
+	if r := s.quarantineRevision(l, q.Role); q.Quarantine < r {
+		n.Quarantine, n.Cases = r, s.quarantine.Published(now)
+	}
 	n.Stores = sortedHosts(l.liveHosts(settings.RoleStore, now))
 	if q.Role == settings.RoleEntry {
 		n.Stores = l.voters(n.Stores, now)
@@ -182,6 +186,7 @@
 func (s *Server) fillReport(q *fleet.Report) {
 	q.Host = &fleet.Host{Name: s.cfg.Site.Host, Zone: s.cfg.Site.Zone, Addr: s.cfg.Site.InternalAddr(), Disk: s.replica.Disk(),
 		Empty: s.replica.Empty()}
+	q.Cases = s.quarantine.Reported(time.Now())
 }
 
 // followLeader copies the roster from the leader while another process leads, so that the
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -63,6 +63,8 @@
 	StoreLeader string
 	// EntryHosts is the number of live entry hosts.
 	EntryHosts int
+	// Quarantine is the revision of the quarantined requests.
+	Quarantine uint64
 	// LastContact is when the leader last answered.
 	LastContact time.Time
 }
@@ -77,6 +79,8 @@
 	Report func(*fleet.Report)
 	// Changed runs on the feed's goroutine after each update.
 	Changed func(*State)
+	// Quarantine merges cases of quarantined requests; nil for hosts that need none.
+	Quarantine func([]*fleet.Case)
 	// Self is the address of this process, which is never called.
 	Self string
 }
@@ -265,13 +269,13 @@
 	}
 	s := f.State()
 	q := &fleet.Report{Role: f.cfg.Role, Incarnation: f.cfg.Incarnation, Term: s.Term, Catalog: s.Catalog, Roster: s.Roster,
-		Waitms: uint32(wait / time.Millisecond), Host: &fleet.Host{Name: f.cfg.Host}}
-	f.cfg.Report(q)
+		Quarantine: s.Quarantine, Waitms: uint32(wait / time.Millisecond), Host: &fleet.Host{Name: f.cfg.Host}}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	f.mu.Lock()
-	f.cancelPoll = cancel
+	f.cancelPoll = cancel // before the report: ReportNow must not miss a call without its news
 	f.mu.Unlock()
+	f.cfg.Report(q)
 	n, err := fleet.NewDirectorProtobufClient("http://"+addr, f.cfg.Client).Watch(ctx, q)
 	if err != nil {
 		return err
@@ -310,6 +314,10 @@
 		}
 		s.Roster = n.Roster
 	}
+	if f.cfg.Quarantine != nil && n.Quarantine > old.Quarantine {
+		f.cfg.Quarantine(n.Cases)
+		s.Quarantine = n.Quarantine
+	}
 	f.mu.Lock()
 	if len(n.Controls) > 0 {
 		f.controls = n.Controls
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -206,3 +206,40 @@
 type roundTripper func(*http.Request) (*http.Response, error)
 
 func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// TestQuarantineIsMergedOnce checks that cases are passed on when their revision is new, and
+// that the host then reports it.
+func TestQuarantineIsMergedOnce(t *testing.T) {
+	var got [][]*fleet.Case
+	f := New(Config{Changed: func(*State) {}, Quarantine: func(c []*fleet.Case) { got = append(got, c) }}, nil)
+	for _, c := range []struct {
+		revision uint64
+		merged   int
+	}{{0, 0}, {5, 1}, {0, 1}, {5, 1}, {4, 1}, {6, 2}} {
+		if err := f.apply(&fleet.News{Quarantine: c.revision, Cases: []*fleet.Case{{}}}); err != nil {
+			t.Fatal(err)
+		}
+		if len(got) != c.merged {
+			t.Errorf("revision %d: merged %d times, want %d", c.revision, len(got), c.merged)
+		}
+	}
+	if f.State().Quarantine != 6 {
+		t.Errorf("revision is %d, want 6", f.State().Quarantine)
+	}
+}
+
+// TestReportNowDuringReport calls ReportNow after the report of a call was made and before the
+// call is sent: the call must not wait without the news.
+func TestReportNowDuringReport(t *testing.T) {
+	c, addr := startControl(t)
+	c.set(func(c *fakeControl) { c.update = &fleet.News{Term: 1} })
+	f := New(Config{Role: "entry", Host: "h", Incarnation: 1, Client: &http.Client{}, Changed: func(*State) {}}, []string{addr})
+	f.cfg.Report = func(*fleet.Report) {}
+	f.Poll(t.Context())
+	f.cfg.Report = func(*fleet.Report) { f.ReportNow() }
+	start := time.Now()
+	f.Poll(t.Context())
+	if took := time.Since(start); took > pollWait/2 {
+		t.Errorf("the call took %v", took)
+	}
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -16,13 +16,22 @@
 	"github.com/plantainbank/plantainbank/internal/connection/placement"
 	"github.com/plantainbank/plantainbank/internal/process/feed"
 	"github.com/plantainbank/plantainbank/internal/request/forward"
+	"github.com/plantainbank/plantainbank/internal/request/quarantine"
 	"github.com/plantainbank/plantainbank/pkg/process/settings"
 	"github.com/plantainbank/plantainbank/pkg/request/attempt"
 	"github.com/plantainbank/plantainbank/service/fleet"
 )
 
-// idleInterval is how often unused connections to backend servers are checked.
-const idleInterval = time.Second
+const (
+	// idleInterval is how often unused connections to backend servers are checked.
+	idleInterval = time.Second
+	// contactTimeout is how long after the control leader's last answer the host counts as
+	// in contact with it. The leader answers every 0.8 s.
+	contactTimeout = 2 * time.Second
+	// maxQuarantineRecords bounds the requests under which servers ended that the host knows
+	// of.
+	maxQuarantineRecords = 256
+)
 
 // Config holds the settings and dependencies of a Server.
 type Config struct {
@@ -42,9 +51,13 @@
 	table     *placement.Table
 	forwarder *forward.Forwarder
 	usage     *usage
-	stores    *storeClient
-	ends      *endSender
-	leaving   atomic.Bool
+	// quarantine holds the requests under which servers ended.
+	quarantine *quarantine.Table
+	// unreported is true while the next report will have a change of the quarantine.
+	unreported atomic.Bool
+	stores     *storeClient
+	ends       *endSender
+	leaving    atomic.Bool
 	// stateKnown is closed once a configuration and the roster are known.
 	stateKnown     chan struct{}
 	stateKnownOnce sync.Once
@@ -53,13 +66,16 @@
 // New returns an entry process that is not running yet.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, log: cfg.Log, table: placement.NewTable(), usage: newUsage(cfg.Site.Bounds.Window.Duration()),
-		stateKnown: make(chan struct{})}
+		quarantine: quarantine.NewTable(maxQuarantineRecords), stateKnown: make(chan struct{})}
 	s.table.Zone = cfg.Site.Zone
 	s.table.Connected = cfg.Servers.Idle
+	guard := quarantine.NewGuard(quarantine.GuardConfig{Table: s.quarantine, Log: cfg.Log, Scope: cfg.Scope,
+		Contact: s.hasContact, ReportNow: s.reportQuarantine})
 	s.forwarder = forward.New(forward.Config{Table: s.table, Client: cfg.Servers, Headers: cfg.Headers, Log: cfg.Log,
-		Scope: cfg.Scope, OnStart: func(workspace string) { s.usage.add(workspace, time.Now()) }})
+		Scope: cfg.Scope, Guard: guard, OnStart: func(workspace string) { s.usage.add(workspace, time.Now()) }})
 	s.feed = feed.New(feed.Config{Role: settings.RoleEntry, Host: cfg.Site.Host, Incarnation: uint64(time.Now().UnixNano()),
-		Client: cfg.Client, Log: cfg.Log, Report: s.fillReport, Changed: s.applyUpdate}, cfg.Site.ControlAddrs())
+		Client: cfg.Client, Log: cfg.Log, Report: s.fillReport, Changed: s.applyUpdate,
+		Quarantine: func(cases []*fleet.Case) { s.quarantine.Merge(cases, time.Now()) }}, cfg.Site.ControlAddrs())
 	s.stores = &storeClient{client: cfg.Client, log: cfg.Log, state: s.feed.State}
 	s.ends = newEndSender(s.stores, cfg.Log, cfg.Scope, cfg.Site.Bounds.ResultRetention.Duration())
 	return s
@@ -137,8 +153,23 @@
 	q.Host = &fleet.Host{Name: s.cfg.Site.Host, Zone: s.cfg.Site.Zone, Addr: s.cfg.Site.InternalAddr()}
 	q.Leaving = s.leaving.Load()
 	q.Usage = s.usage.report()
+	s.unreported.Store(false)
+	now := time.Now()
+	s.quarantine.Expire(now)
+	q.Cases = s.quarantine.Reported(now)
 }
 
+// reportQuarantine reports a change of the quarantine at once. Changes until the report is
+// made are reported with it: a server that ends does so under many requests.
+func (s *Server) reportQuarantine() {
+	if s.unreported.CompareAndSwap(false, true) {
+		s.feed.ReportNow()
+	}
+}
+
+// hasContact reports whether the control leader has answered recently.
+func (s *Server) hasContact() bool { return time.Since(s.feed.State().LastContact) < contactTimeout }
+
 // Forward sends a request to a backend server.
 func (s *Server) Forward(ctx context.Context, r *forward.Request) *forward.Response {
 	r.Service = r.Route.Choose(rand.Float64())
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -53,6 +53,8 @@
 	Headers httpheader.Names
 	Log     *logrus.Entry
 	Scope   tally.Scope
+	// Guard refuses requests under which servers ended; nil admits all.
+	Guard *quarantine.Guard
 	// OnStart is called once for each request that may have been executed.
 	OnStart func(workspace string)
 }
@@ -122,7 +124,8 @@
 	// lastFailure is the last 5xx response after which another attempt was allowed.
 	lastFailure *Response
 	// print is nil until fingerprint is called.
-	print *quarantine.Fingerprint
+	print     *quarantine.Fingerprint
+	admission quarantine.Admission
 }
 
 func newRequestState(r *Request) *requestState {
@@ -143,16 +146,31 @@
 	return *s.print
 }
 
+// subject returns the request as the guard sees it.
+func (s *requestState) subject() quarantine.Request {
+	return quarantine.Request{ID: s.ID, Fingerprint: s.fingerprint}
+}
+
+// trial reports whether the request is quarantined and sent to a single server, to see
+// whether servers still end under it.
+func (s *requestState) trial() bool { return s.admission.Verdict == quarantine.Try }
+
 // Do forwards a request and returns the response to it.
 func (f *Forwarder) Do(ctx context.Context, r *Request) *Response {
+	s := newRequestState(r)
+	if s.admission = f.cfg.Guard.Admit(s.subject()); s.admission.Verdict == quarantine.Refuse {
+		return quarantinedResponse(s.admission)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := watchDisconnect(r.Disconnected, cancel)
 	end := func() {
 		stop()
 		cancel(nil)
 	}
-	s := newRequestState(r)
 	a := f.do(ctx, s)
+	if s.trial() && s.sent == 0 {
+		f.cfg.Guard.Withdraw(s.subject(), s.admission)
+	}
 	f.recordOutcome(s, a)
 	if a.Stream != nil {
 		a.Stream.ctx, a.Stream.endRequest = ctx, end // the request lasts until the stream has been copied
@@ -239,6 +257,8 @@
 	switch {
 	case ctx.Err() != nil, time.Until(s.Deadline) <= responseMargin, s.refused >= maxRefusals:
 		return false
+	case s.trial() && s.sent > 0, !s.trial() && f.cfg.Guard.Held(s.subject()):
+		return false
 	case s.sent == 0:
 		return true
 	}
@@ -279,13 +299,14 @@
 		return &Response{Response: got.Response, Stream: newStream(f, s, slot, got, cancel)}, true
 	}
 	cancel()
+	f.cfg.Guard.Served(s.subject())
 	status := got.Response.StatusCode()
 	outcome := placement.Served
 	if status >= http.StatusInternalServerError {
 		outcome = placement.Failed
 	}
 	f.cfg.Table.Done(slot, outcome, now.Sub(slot.Taken), now)
-	if outcome == placement.Failed && s.Idempotent() && s.sent < s.Route.MaxAttempts && time.Until(s.Deadline) > attemptTimeout {
+	if outcome == placement.Failed && s.Idempotent() && !s.trial() && s.sent < s.Route.MaxAttempts && time.Until(s.Deadline) > attemptTimeout {
 		s.lastErr = fmt.Errorf("server responded with status %d", status)
 		s.avoid[slot.ID] = true
 		s.lastFailure = &Response{Response: got.Response}
@@ -302,7 +323,7 @@
 		return s.capToDeadline(time.Now().Add(s.AttemptTimeout))
 	}
 	early := time.Now().Add(attemptTimeout)
-	if s.Idempotent() && !s.Route.Streaming && s.sent+1 < s.Route.MaxAttempts && early.Before(end) {
+	if s.Idempotent() && !s.Route.Streaming && !s.trial() && s.sent+1 < s.Route.MaxAttempts && early.Before(end) {
 		return early
 	}
 	return end
@@ -363,10 +384,14 @@
 	}
 	f.cfg.Scope.Counter("attempts_failed").Inc(1)
 	fields := logrus.Fields{"request": s.ID, "instance": slot.ID, "sent": s.sent, "took_ms": now.Sub(slot.Taken).Milliseconds()}
-	if attempt.ClosedByServer(err) {
+	closed := attempt.ClosedByServer(err)
+	if closed {
 		fields["fingerprint"] = s.fingerprint().String()
 	}
 	f.cfg.Log.WithFields(fields).WithError(err).Info("attempt failed")
+	if closed {
+		f.cfg.Guard.Ended(s.subject(), slot.ID, slot.Born)
+	}
 }
 
 // attemptRefused records an attempt that the server did not execute.
@@ -421,6 +446,13 @@
 	return &Response{Status: http.StatusBadGateway, Reason: "no whole answer came"}
 }
 
+// quarantinedResponse returns the response to a request that is refused because servers ended
+// under it.
+func quarantinedResponse(a quarantine.Admission) *Response {
+	return &Response{Status: http.StatusTooManyRequests, RetryAfter: a.RetryAfter,
+		Reason: fmt.Sprintf("quarantined: %d backend servers ended while they ran this request", a.Ended)}
+}
+
 // recordOutcome records the metrics of a request, and logs it unless its first attempt got
 // a response from a server.
 func (f *Forwarder) recordOutcome(s *requestState, a *Response) {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -52,7 +52,7 @@
 		}
 		if x.ctx.Err() != nil || !x.resume(err) {
 			fields := logrus.Fields{"request": x.s.ID, "instance": x.slot.ID, "events": x.events}
-			if x.ctx.Err() == nil && attempt.ClosedByServer(err) {
+			if x.closedByServer(err) {
 				fields["fingerprint"] = x.s.fingerprint().String()
 			}
 			x.f.cfg.Log.WithFields(fields).WithError(err).Info("stream broke")
@@ -69,6 +69,7 @@
 		event, id, err := readEvent(br)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			x.endAttempt(placement.Served)
+			x.f.cfg.Guard.Served(x.s.subject())
 			return nil
 		}
 		if err != nil {
@@ -77,6 +78,9 @@
 				outcome = placement.Abandoned // the caller has left
 			}
 			x.endAttempt(outcome)
+			if x.closedByServer(err) {
+				x.f.cfg.Guard.Ended(x.s.subject(), x.slot.ID, x.slot.Born)
+			}
 			return err
 		}
 		x.response.Expect(maxEventBytes, gapTimeout)
@@ -95,6 +99,10 @@
 	}
 }
 
+func (x *Stream) closedByServer(err error) bool {
+	return x.ctx.Err() == nil && attempt.ClosedByServer(err)
+}
+
 func (x *Stream) endAttempt(o placement.Outcome) {
 	x.response.Close(o == placement.Served)
 	x.cancel()
--- a/internal/request/quarantine/exchange.go
+++ b/internal/request/quarantine/exchange.go
@@ -26,10 +26,9 @@
 	})
 }
 
-// Published returns the cases that all hosts must know of, and their revision.
-func (t *Table) Published(now time.Time) ([]*fleet.Case, uint64) {
-	cases := t.cases(now, func(r *record) (time.Time, bool) { return r.seen, len(r.ended) >= publishAt })
-	return cases, t.Revision()
+// Published returns the cases that all hosts must know of.
+func (t *Table) Published(now time.Time) []*fleet.Case {
+	return t.cases(now, func(r *record) (time.Time, bool) { return r.seen, len(r.ended) >= publishAt })
 }
 
 // cases returns the cases that include selects, with the times at which they were seen.
--- a/internal/request/quarantine/exchange_test.go
+++ b/internal/request/quarantine/exchange_test.go
@@ -107,7 +107,7 @@
 			continue
 		}
 		if m.to.Revision() != before {
-			cases, _ := s.lead.Published(s.now)
+			cases := s.lead.Published(s.now)
 			for _, h := range append(s.hosts, s.follow) {
 				s.send(h, cases, nil)
 			}
@@ -147,8 +147,7 @@
 			case 1:
 				i := rng.IntN(len(s.hosts))
 				s.hosts[i] = NewTable(100)
-				cases, _ := s.lead.Published(s.now)
-				s.hosts[i].Merge(cases, s.now)
+				s.hosts[i].Merge(s.lead.Published(s.now), s.now)
 			case 2:
 				for _, h := range s.hosts {
 					s.report(h)
@@ -228,8 +227,7 @@
 	host.Void(poll, 9)
 	control.Merge(host.Reported(now), now)
 	control.Merge(stale, now)
-	cases, _ := control.Published(now)
-	host.Merge(cases, now)
+	host.Merge(control.Published(now), now)
 	for name, x := range map[string]*Table{"control": control, "host": host} {
 		if r := x.records[poll]; r.endedCount() != 2 || r.summary().tried != 0 {
 			t.Errorf("%s: %+v, want two ended servers and no trial", name, r.summary())
--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -24,7 +24,7 @@
 	forgetCleared = time.Minute
 	// aliveMargin is how much later than the end of its connection a server must be heard
 	// of to count as running: its announcement may have been on its way.
-	aliveMargin = 500 * time.Millisecond
+	aliveMargin = time.Second
 	// maxMarks bounds the marks of one kind in a record.
 	maxMarks = 16
 )
--- a/internal/request/quarantine/table.go
+++ b/internal/request/quarantine/table.go
@@ -18,6 +18,8 @@
 	// untriedRetryAfter is the Retry-After of a request whose trial must wait until the host
 	// has contact to control again.
 	untriedRetryAfter = time.Second
+	// expireInterval is the interval between searches for forgotten records.
+	expireInterval = time.Second
 	// logInterval is the minimum time between two log lines about refusals of a request.
 	logInterval = 10 * time.Second
 )
@@ -41,10 +43,14 @@
 type Change struct {
 	Fingerprint Fingerprint
 	Kind        Kind
-	// Ended is the number of servers that ended since the request was last served.
-	Ended int
+	// Ended is the number of servers that ended since the request was last served, Before
+	// what it was before the change.
+	Ended, Before int
 }
 
+// Shared reports whether all hosts must know of the request.
+func (c Change) Shared() bool { return max(c.Ended, c.Before) >= publishAt }
+
 // Incarnation returns the ID of an incarnation of a backend server.
 func Incarnation(id string, born int64) uint64 {
 	h := fnv.New64a()
@@ -64,6 +70,7 @@
 	mu             sync.Mutex
 	records        map[Fingerprint]*record
 	revision       uint64
+	expiredAt      time.Time
 }
 
 // NewTable returns an empty table that holds at most max records.
@@ -199,6 +206,10 @@
 func (t *Table) Expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Sub(t.expiredAt) < expireInterval {
+		return
+	}
+	t.expiredAt = now
 	for f, r := range t.records {
 		if r.forgotten(now) {
 			t.remove(f, r)
@@ -282,14 +293,14 @@
 	}
 	switch {
 	case a.ended < Limit && b.ended >= Limit:
-		out = append(out, Change{f, Quarantined, b.ended})
+		out = append(out, Change{f, Quarantined, b.ended, a.ended})
 	case b.ended > a.ended:
-		out = append(out, Change{f, Ended, b.ended})
+		out = append(out, Change{f, Ended, b.ended, a.ended})
 	case b.ended < a.ended:
-		out = append(out, Change{f, Cleared, b.ended})
+		out = append(out, Change{f, Cleared, b.ended, a.ended})
 	}
 	if b.tried > a.tried {
-		out = append(out, Change{f, Tried, b.ended})
+		out = append(out, Change{f, Tried, b.ended, a.ended})
 	}
 	return out
 }
--- a/internal/request/quarantine/table_test.go
+++ b/internal/request/quarantine/table_test.go
@@ -71,7 +71,7 @@
 			one(admit(firstHold+longHold+time.Hour+s, Pass)))},
 		{"hold is over without contact to control", pattern(third, one(event{at: 2 * firstHold, admit: true, noContact: true, want: Refuse}),
 			one(admit(3*firstHold, Try)))},
-		{"connections ended, servers still run", pattern(third, one(event{at: s, alive: 2}), one(admit(s, Pass)))},
+		{"connections ended, servers still run", pattern(third, one(event{at: aliveMargin, alive: 2}), one(admit(s, Pass)))},
 		{"announcement was on its way", pattern(third, one(event{at: aliveMargin - ms, alive: 2}), one(admit(s, Refuse)))},
 		{"the servers' successors are heard of", pattern(third, one(event{at: 3 * s, alive: 7}), one(admit(3*s, Refuse)))},
 	} {
@@ -178,7 +178,7 @@
 	for i := range uint64(Limit) {
 		big.Ended(poll, i+1, start.Add(-time.Minute))
 	}
-	cases, _ := big.Published(start)
+	cases := big.Published(start)
 	if len(cases) != maxCases || Fingerprint(cases[0].Fingerprint) != poll {
 		t.Errorf("%d cases published, the quarantined one first: %v", len(cases), Fingerprint(cases[0].Fingerprint) == poll)
 	}
@@ -189,15 +189,15 @@
 func TestWhatIsExchanged(t *testing.T) {
 	x := NewTable(10)
 	x.Ended(poll, 1, start)
-	if cases, revision := x.Published(start); len(cases) != 0 || revision != 0 {
-		t.Errorf("one end: %d cases published, revision %d", len(cases), revision)
+	if n, revision := len(x.Published(start)), x.Revision(); n != 0 || revision != 0 {
+		t.Errorf("one end: %d cases published, revision %d", n, revision)
 	}
 	if len(x.Reported(start)) != 1 || len(x.Reported(start.Add(2*reportPeriod))) != 0 {
 		t.Error("one end is not reported, or for too long")
 	}
 	x.Ended(poll, 2, start)
-	if cases, revision := x.Published(start.Add(2 * reportPeriod)); len(cases) != 1 || revision != 1 {
-		t.Errorf("two ends: %d cases published, revision %d", len(cases), revision)
+	if n, revision := len(x.Published(start.Add(2*reportPeriod))), x.Revision(); n != 1 || revision != 1 {
+		t.Errorf("two ends: %d cases published, revision %d", n, revision)
 	}
 	x.Merge(x.Reported(start), start)
 	if x.Revision() != 1 {
