Lead from a refused request to the servers that ended under it

The 429 of a quarantined request names its fingerprint, since not every refusal has a log line. plantainbank why follows a request to the others with its fingerprint, and a fingerprint to its requests.

--- a/internal/process/history/history.go
+++ b/internal/process/history/history.go
@@ -108,7 +108,8 @@
 // Timeline returns the lines that explain what happened to an ID, ordered by time. It is
 // empty if no line names the ID.
 func Timeline(lines []Line, id string) []Line {
-	t := &timeline{id: id, hosts: map[string]bool{}, instances: map[string]bool{}, requests: map[string]bool{}}
+	t := &timeline{id: id, hosts: map[string]bool{}, instances: map[string]bool{}, requests: map[string]bool{},
+		fingerprints: map[string]bool{}}
 	for i := range lines {
 		if lines[i].hasID(id) {
 			t.add(&lines[i])
@@ -129,9 +130,12 @@
 	id               string
 	from, to         time.Time
 	hosts, instances map[string]bool
-	// requests holds the requests that were made for the item with the ID: the calls of its
-	// scorer.
+	// requests holds the requests that were made for the item with the ID, the calls of its
+	// scorer, and the requests whose content has the ID as its fingerprint.
 	requests map[string]bool
+	// fingerprints holds the contents of the request with the ID: lines about other requests
+	// with the same content explain why it was refused.
+	fingerprints map[string]bool
 }
 
 // add records the time, host and instance of a line that names the ID.
@@ -146,17 +150,22 @@
 	if x, ok := l.Fields["instance"].(string); ok && x != "" {
 		t.instances[x] = true
 	}
-	if item, ok := l.Fields["item"].(string); ok && item == t.id {
-		if request, ok := l.Fields["request"].(string); ok {
-			t.requests[request] = true
-		}
+	item, _ := l.Fields["item"].(string)
+	fingerprint, _ := l.Fields["fingerprint"].(string)
+	request, _ := l.Fields["request"].(string)
+	if request != "" && (item == t.id || fingerprint == t.id) {
+		t.requests[request] = true
+	}
+	if fingerprint != "" && request == t.id {
+		t.fingerprints[fingerprint] = true
 	}
 }
 
 // includes reports whether a line belongs to the timeline.
 func (t *timeline) includes(l *Line) bool {
 	request, hasRequest := l.Fields["request"].(string)
-	if l.hasID(t.id) || t.requests[request] {
+	fingerprint, _ := l.Fields["fingerprint"].(string)
+	if l.hasID(t.id) || t.requests[request] || t.fingerprints[fingerprint] {
 		return true
 	}
 	if len(t.hosts) == 0 || l.Time.Before(t.from.Add(-spanBefore)) || l.Time.After(t.to.Add(spanAfter)) {
--- a/internal/process/history/history_test.go
+++ b/internal/process/history/history_test.go
@@ -88,6 +88,36 @@
 	}
 }
 
+// TestFingerprintOfARequest follows a request to the others with its content, and a fingerprint to
+// its requests. Other requests on the same server stay out.
+func TestFingerprintOfARequest(t *testing.T) {
+	lines, _, err := Read(strings.NewReader(`
+{"host":"edge-1","msg":"server ended under a request","request":"q1","fingerprint":"f1","instance":"s1","time":"2026-03-01T10:00:01.000Z"}
+{"host":"edge-1","msg":"server ended under a request","request":"q2","fingerprint":"f2","instance":"s1","time":"2026-03-01T10:00:01.001Z"}
+{"host":"edge-1","msg":"request answered","request":"q1","status":502,"time":"2026-03-01T10:00:01.002Z"}
+{"host":"core-1","msg":"quarantine changed","fingerprint":"f1","kind":"quarantined","time":"2026-03-01T10:05:00.000Z"}
+{"host":"edge-2","msg":"quarantined request refused","request":"q3","fingerprint":"f1","time":"2026-03-01T10:05:01.000Z"}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for id, want := range map[string]string{
+		"q1": "server ended under a request|request answered|quarantine changed|quarantined request refused",
+		"q3": "server ended under a request|quarantine changed|quarantined request refused",
+		"f1": "server ended under a request|request answered|quarantine changed|quarantined request refused",
+		"s1": "server ended under a request|server ended under a request",
+		"q2": "server ended under a request",
+	} {
+		var got []string
+		for _, l := range Timeline(lines, id) {
+			got = append(got, l.Message)
+		}
+		if strings.Join(got, "|") != want {
+			t.Errorf("%s: got %q, want %q", id, got, want)
+		}
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add([]byte(sample))
 	f.Add([]byte(`{"time":"2026-03-01T10:00:00Z","instance":7,"host":[]}`))
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -159,7 +159,7 @@
 func (f *Forwarder) Do(ctx context.Context, r *Request) *Response {
 	s := newRequestState(r)
 	if s.admission = f.cfg.Guard.Admit(s.subject()); s.admission.Verdict == quarantine.Refuse {
-		return quarantinedResponse(s.admission)
+		return quarantinedResponse(s)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := watchDisconnect(r.Disconnected, cancel)
@@ -447,10 +447,10 @@
 }
 
 // quarantinedResponse returns the response to a request that is refused because servers ended
-// under it.
-func quarantinedResponse(a quarantine.Admission) *Response {
-	return &Response{Status: http.StatusTooManyRequests, RetryAfter: a.RetryAfter,
-		Reason: fmt.Sprintf("quarantined: %d backend servers ended while they ran this request", a.Ended)}
+// under it. It names the fingerprint, since not every refusal has a log line.
+func quarantinedResponse(s *requestState) *Response {
+	return &Response{Status: http.StatusTooManyRequests, RetryAfter: s.admission.RetryAfter,
+		Reason: fmt.Sprintf("quarantined: %d backend servers ended while they ran this request, fingerprint %s", s.admission.Ended, s.fingerprint())}
 }
 
 // recordOutcome records the metrics of a request, and logs it unless its first attempt got
--- a/internal/request/forward/quarantine_test.go
+++ b/internal/request/forward/quarantine_test.go
@@ -55,9 +55,11 @@
 	if status, _ := do(f, newRequest("1", crashBody)); status != http.StatusBadGateway || ran(servers) != quarantine.Limit {
 		t.Fatalf("first attempt: %d, %d servers got it", status, ran(servers))
 	}
+	reason := "quarantined: 3 backend servers ended while they ran this request, fingerprint " +
+		newRequestState(newRequest("", crashBody)).fingerprint().String()
 	for i := range 20 {
 		status, a := do(f, newRequest(fmt.Sprint("repeat", i), crashBody))
-		if status != http.StatusTooManyRequests || a.RetryAfter <= 0 || a.Reason != "quarantined: 3 backend servers ended while they ran this request" {
+		if status != http.StatusTooManyRequests || a.RetryAfter <= 0 || a.Reason != reason {
 			t.Fatalf("repeat %d: %d %q, retry after %v", i, status, a.Reason, a.RetryAfter)
 		}
 	}
