Wait longer before a quarantined request is tried, and before an end is withdrawn

Read when the quarantine was reviewed: announcements may arrive seconds late, so one that arrives 1 s after the end of its server withdrew an end that happened. It takes 5 s now. A trial may cost another server, and users allow three sends after the third end in all, so the first trial comes after a minute, not 10 s.

--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -8,9 +8,9 @@
 const (
 	// Limit is the number of servers that may end under a request before it is quarantined.
 	Limit = 3
-	// firstHold is how long a request is refused before a trial is allowed. Crashed servers
-	// are back after some seconds, so a trial reaches one that serves others again.
-	firstHold = 10 * time.Second
+	// firstHold is how long a request is refused before a trial is allowed. A trial may cost
+	// another server, which its service lacks for some seconds.
+	firstHold = time.Minute
 	// longHold is how long it is refused after the first trial.
 	longHold = 10 * time.Minute
 	// maxTrials is the number of trials; after them the request is refused until it has not
@@ -23,8 +23,8 @@
 	forgetSuspect = 5 * time.Minute
 	forgetCleared = time.Minute
 	// aliveMargin is how much later than the end of its connection a server must be heard
-	// of to count as running: its announcement may have been on its way.
-	aliveMargin = time.Second
+	// of to count as running: its announcement may have been on its way for seconds.
+	aliveMargin = 5 * time.Second
 	// maxMarks bounds the marks of one kind in a record.
 	maxMarks = 16
 )
