Accept a batch as ended whose end came before its submission

Callers saw: an end that found no batch got 404 and left nothing behind. A submission that was still on its way (at an entry host that was suspended or still searched for the leader, or behind the end in the log) was accepted afterwards, and its items ran.

Cause: an end was in force only for a batch that was known when it was applied.

Change: the replicated state keeps the end of an unknown batch, by ID and workspace, for the retention of results, 4096 at most. A submission that is accepted later is stored as ended, so the order of the two no longer matters.

Evidence: TestSubmissionAfterItsEnd and the stricter TestEndOfABatchThatIsBeingAccepted (it passed an end with 404 and an open batch before only if that was asked to be repeated) failed without it ("1 items are open after the end of their batch") and pass now.

--- a/internal/process/store/batches.go
+++ b/internal/process/store/batches.go
@@ -163,7 +163,8 @@
 }
 
 // End ends a batch; its open items are not run any more. The end of a batch that is not known
-// goes through the log as well, since its submission may be in the log and not committed yet.
+// goes through the log as well, since its submission may still be on its way: if it is accepted
+// later, it is accepted as ended.
 func (s *Server) End(ctx context.Context, q *fleet.BatchKey) (*fleet.Nothing, error) {
 	before, err := s.lookUp(ctx, q)
 	if err == nil && before.foreign {
@@ -171,7 +172,7 @@
 	}
 	after := before
 	if err == nil && !before.ended {
-		err = s.proposeWithin(ctx, &batch.Command{End: q.Batch, Workspace: &q.Workspace})
+		err = s.proposeWithin(ctx, &batch.Command{End: q.Batch, Workspace: &q.Workspace, Asked: time.Now().UnixMilli()})
 	}
 	if err == nil && !before.known {
 		after, err = s.lookUp(ctx, q)
--- a/internal/process/store/ends_test.go
+++ b/internal/process/store/ends_test.go
@@ -90,42 +90,67 @@
 }
 
 // TestEndOfABatchThatIsBeingAccepted ends a batch while its submission is in the leader's log and
-// not committed yet, since the disks of the other replicas are slow. Afterwards the batch must
-// not be open, unless the end was answered with an error that asks for a repetition.
+// not committed yet, since the disks of the other replicas are slow. In whichever order the two
+// are logged, the batch must not be open afterwards.
 func TestEndOfABatchThatIsBeingAccepted(t *testing.T) {
 	t.Parallel()
 	lead, others := startGroup(t)
 	for _, x := range others {
 		x.syncTime.Store(int64(300 * time.Millisecond))
 	}
-	data, err := testBatch("b", batch.Item{ID: "i", Path: "/"}).Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
 	accepted := make(chan error, 1)
-	start := time.Now()
 	go func() {
-		_, err := lead.Submit(context.Background(), &fleet.Submission{Id: "b", Batch: data})
+		_, err := lead.Submit(context.Background(), submissionOf(t, "b"))
 		accepted <- err
 	}()
 	time.Sleep(100 * time.Millisecond)
 	_, endErr := lead.End(context.Background(), &fleet.BatchKey{Batch: "b", Workspace: "w"})
-	endTook := time.Since(start)
 	if err := <-accepted; err != nil {
 		t.Fatal(err)
 	}
-	open := 0
-	if err := lead.onLeader(context.Background(), func() { open = len(lead.batches.Get("b").OpenItems()) }); err != nil {
-		t.Fatal(err)
+	if n := lead.openItems(t, "b"); n > 0 {
+		t.Errorf("%d items are open after the end of their batch (%v)", n, endErr)
 	}
-	t.Logf("the end was answered %d ms after the start of the submission (%v), the submission after %d ms; %d items are open",
-		endTook.Milliseconds(), endErr, time.Since(start).Milliseconds(), open)
+}
+
+// TestSubmissionAfterItsEnd accepts a batch whose end was asked for before, as happens when an
+// entry host was suspended in between: it must be accepted as ended.
+func TestSubmissionAfterItsEnd(t *testing.T) {
+	t.Parallel()
+	lead, _ := startGroup(t)
+	key := &fleet.BatchKey{Batch: "b", Workspace: "w"}
 	var e twirp.Error
-	if open > 0 && (!errors.As(endErr, &e) || e.Code() == twirp.NotFound) {
-		t.Errorf("%d items are open after the end of their batch", open)
+	if _, err := lead.End(context.Background(), key); !errors.As(err, &e) || e.Code() != twirp.NotFound {
+		t.Fatalf("the end of an unknown batch: %v", err)
+	}
+	if _, err := lead.Submit(context.Background(), submissionOf(t, "b")); err != nil {
+		t.Fatal(err)
+	}
+	if n := lead.openItems(t, "b"); n > 0 {
+		t.Errorf("%d items are open after the end of their batch", n)
+	}
+	if _, err := lead.End(context.Background(), key); err != nil {
+		t.Errorf("the repeated end: %v", err)
 	}
 }
 
+func submissionOf(t *testing.T, id string) *fleet.Submission {
+	data, err := testBatch(id, batch.Item{ID: "i", Path: "/"}).Encode()
+	if err != nil {
+		t.Error(err)
+	}
+	return &fleet.Submission{Id: id, Batch: data}
+}
+
+// openItems returns the number of open items of a batch at the leader.
+func (x *slowStore) openItems(t *testing.T, id string) (n int) {
+	t.Helper()
+	if err := x.onLeader(context.Background(), func() { n = len(x.batches.Get(id).OpenItems()) }); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 // TestUnknownSubmissionIsCommittedLate cuts the leader off right before a submission, which thus
 // has an unknown outcome, and ends the batch, which no host can. When the leader and one other
 // host reach each other again, the batch is accepted, although nobody submits it again; only an
@@ -138,14 +163,10 @@
 	for _, x := range all {
 		x.cut.Store(true)
 	}
-	data, err := testBatch("b", batch.Item{ID: "i", Path: "/"}).Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
 	defer cancel()
-	_, err = lead.Submit(ctx, &fleet.Submission{Id: "b", Batch: data})
+	_, err := lead.Submit(ctx, submissionOf(t, "b"))
 	t.Logf("submission after %d ms: %v", time.Since(start).Milliseconds(), err)
 	var e twirp.Error
 	if !errors.As(err, &e) || e.Code() != twirp.Unavailable {
--- a/internal/request/batch/batch.go
+++ b/internal/request/batch/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"slices"
 	"time"
 )
@@ -137,7 +138,8 @@
 // DueTime returns the time when all results are due.
 func (b *Batch) DueTime() time.Time { return time.UnixMilli(b.Submitted + b.Due) }
 
-// Command is one command of the replicated log. Exactly one field is set, besides Workspace.
+// Command is one command of the replicated log. Exactly one field is set, besides Workspace and
+// Asked.
 type Command struct {
 	Accept     *Batch      `json:"accept,omitempty"`
 	AddResults *AddResults `json:"list,omitempty"`
@@ -145,6 +147,8 @@
 	// of another workspace; nil, in entries of older versions, means any.
 	End       string  `json:"end,omitempty"`
 	Workspace *string `json:"workspace,omitempty"`
+	// Asked is the time of the end in Unix milliseconds, zero in entries of older versions.
+	Asked int64 `json:"asked,omitempty"`
 	// Drop lists the IDs of batches to delete.
 	Drop       []string    `json:"drop,omitempty"`
 	Checkpoint *Checkpoint `json:"save,omitempty"`
@@ -157,23 +161,29 @@
 }
 
 // Store holds the batches by ID. It is not safe for concurrent use.
-type Store struct{ all map[string]*Batch }
+type Store struct {
+	all map[string]*Batch
+	// earlyEnds holds the ends of batches that were not known, by batch ID. A batch whose
+	// submission is committed later is stored as ended.
+	earlyEnds map[string]earlyEnd
+}
 
 // NewStore returns an empty store.
-func NewStore() *Store { return &Store{all: map[string]*Batch{}} }
+func NewStore() *Store { return &Store{all: map[string]*Batch{}, earlyEnds: map[string]earlyEnd{}} }
 
 // Freeze returns a function that writes the current state of the store as a snapshot. The
 // function may run on another goroutine while the store changes: texts and bodies are
 // immutable, so only the batches and their slices are copied.
 func (s *Store) Freeze() (write func(io.Writer) error) {
 	all := make([]*Batch, 0, len(s.all))
+	ends := maps.Clone(s.earlyEnds)
 	for _, b := range s.all {
 		c := *b
 		c.Items = slices.Clone(b.Items)
 		c.Results = slices.Clone(b.Results)
 		all = append(all, &c)
 	}
-	return func(w io.Writer) error { return writeSnapshot(w, all) }
+	return func(w io.Writer) error { return writeSnapshot(w, all, ends) }
 }
 
 // put adds a batch and builds its indexes.
@@ -208,13 +218,14 @@
 	case c.AddResults != nil:
 		return s.addResults(c.AddResults), nil
 	case c.End != "":
-		return s.end(c.End, c.Workspace), nil
+		return s.end(c), nil
 	case c.Checkpoint != nil:
 		s.saveCheckpoint(c.Checkpoint)
 		return Effect{}, nil
 	}
 	for _, id := range c.Drop {
 		delete(s.all, id)
+		delete(s.earlyEnds, id)
 	}
 	return Effect{}, nil
 }
@@ -231,6 +242,12 @@
 	for _, r := range b.Results {
 		b.dropItemData(b.index[r.Item])
 	}
+	if e, ok := s.earlyEnds[b.ID]; ok {
+		delete(s.earlyEnds, b.ID)
+		if e.workspace == b.Workspace {
+			b.end()
+		}
+	}
 	return Effect{Accepted: b}
 }
 
@@ -256,16 +273,23 @@
 	return e
 }
 
-func (s *Store) end(id string, workspace *string) Effect {
-	b := s.all[id]
-	if b == nil || b.Ended || workspace != nil && b.Workspace != *workspace {
+func (s *Store) end(c *Command) Effect {
+	b := s.all[c.End]
+	if b == nil && c.Workspace != nil {
+		s.addEarlyEnd(c.End, earlyEnd{workspace: *c.Workspace, asked: c.Asked})
+	}
+	if b == nil || b.Ended || c.Workspace != nil && b.Workspace != *c.Workspace {
 		return Effect{}
 	}
+	b.end()
+	return Effect{Ended: b}
+}
+
+func (b *Batch) end() {
 	b.Ended = true
 	for i := range b.Items {
 		b.Items[i].Body, b.Items[i].Headers, b.Items[i].Scorer = nil, nil, nil
 	}
-	return Effect{Ended: b}
 }
 
 // dropItemData drops the data that an item with a result does not need any more.
@@ -273,7 +297,7 @@
 	b.Items[i].Body, b.Items[i].Headers, b.Items[i].Partial, b.Items[i].Scorer = nil, nil, nil, nil
 }
 
-// Expired returns the IDs of the batches that can be deleted: an ended or complete batch once
+// Expired returns the IDs of the batches and of the ends without a batch that can be deleted: an ended or complete batch once
 // the retention has passed since its submission, another one once it has passed since the
 // expiry of its items. A batch whose items never expire remains until it has ended or is
 // complete.
@@ -286,5 +310,10 @@
 			out = append(out, id)
 		}
 	}
+	for id, e := range s.earlyEnds {
+		if now.Sub(time.UnixMilli(e.asked)) > retention {
+			out = append(out, id)
+		}
+	}
 	return out
 }
--- a/internal/request/batch/batch_test.go
+++ b/internal/request/batch/batch_test.go
@@ -126,3 +126,48 @@
 		}
 	}
 }
+
+// TestEndBeforeSubmission applies the end of a batch before its submission, with a snapshot in
+// between: the batch is accepted as ended, unless the end was for another workspace or is dropped.
+func TestEndBeforeSubmission(t *testing.T) {
+	for _, c := range []struct {
+		name, workspace string
+		after           time.Duration
+		ended           bool
+	}{
+		{"own", "w", 0, true},
+		{"foreign", "v", 0, false},
+		{"after the retention", "w", 2 * time.Minute, false},
+	} {
+		s, asked := NewStore(), time.UnixMilli(1000)
+		apply(t, s, &Command{End: "a", Workspace: &c.workspace, Asked: asked.UnixMilli()})
+		s, err := Restore(bytes.NewReader(s.Save()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(s.All()) != 0 {
+			t.Fatalf("%s: the end became a batch", c.name)
+		}
+		apply(t, s, &Command{Drop: s.Expired(asked.Add(c.after), time.Minute)})
+		b := testBatch("a", 2)
+		b.Workspace = "w"
+		apply(t, s, &Command{Accept: b})
+		if b := s.Get("a"); b.Ended != c.ended || (len(b.OpenItems()) == 0) != c.ended || len(b.Items) != 2 {
+			t.Errorf("%s: ended %v with %d open items, want ended %v", c.name, b.Ended, len(b.OpenItems()), c.ended)
+		}
+		if len(s.earlyEnds) != 0 {
+			t.Errorf("%s: the end is kept after the submission", c.name)
+		}
+	}
+}
+
+// TestEarlyEndsAreBounded ends more batches that are not known than are kept.
+func TestEarlyEndsAreBounded(t *testing.T) {
+	s, workspace := NewStore(), "w"
+	for i := range maxEarlyEnds + 2 {
+		apply(t, s, &Command{End: fmt.Sprint("e", i), Workspace: &workspace, Asked: int64(i)})
+	}
+	if _, kept := s.earlyEnds["e1"]; kept || len(s.earlyEnds) != maxEarlyEnds {
+		t.Errorf("%d ends are kept, the second oldest among them: %v", len(s.earlyEnds), kept)
+	}
+}
--- a/internal/request/batch/encoding.go
+++ b/internal/request/batch/encoding.go
@@ -36,7 +36,7 @@
 
 // Encode returns the Protobuf encoding of a command. All strings must be valid UTF-8.
 func (c *Command) Encode() []byte {
-	w := &batchlog.Command{End: c.End, Workspace: c.Workspace, Drop: c.Drop}
+	w := &batchlog.Command{End: c.End, Workspace: c.Workspace, Asked: c.Asked, Drop: c.Drop}
 	if x := c.Checkpoint; x != nil {
 		w.Save = &batchlog.Save{Batch: x.Batch, Item: x.Item, From: int64(x.Offset), Part: x.Partial.toProto()}
 	}
@@ -67,7 +67,7 @@
 	if err := proto.Unmarshal(data, w); err != nil {
 		return nil, fmt.Errorf("decode batch command: %w", err)
 	}
-	c.End, c.Workspace, c.Drop = w.End, w.Workspace, w.Drop
+	c.End, c.Workspace, c.Asked, c.Drop = w.End, w.Workspace, w.Asked, w.Drop
 	if w.Accept != nil {
 		c.Accept = fromProto(w.Accept)
 	}
@@ -159,6 +159,10 @@
 		} else if err != nil {
 			return nil, fmt.Errorf("read batch snapshot: %w", err)
 		}
+		if w.Early {
+			s.earlyEnds[w.Id] = earlyEnd{workspace: w.Workspace, asked: w.Submitted}
+			continue
+		}
 		s.put(fromProto(w))
 	}
 }
@@ -190,8 +194,8 @@
 	return out.Bytes()
 }
 
-// writeSnapshot writes batches as a snapshot.
-func writeSnapshot(w io.Writer, all []*Batch) error {
+// writeSnapshot writes batches and ends without a batch as a snapshot.
+func writeSnapshot(w io.Writer, all []*Batch, ends map[string]earlyEnd) error {
 	if _, err := io.WriteString(w, snapshotMagic); err != nil {
 		return err
 	}
@@ -200,5 +204,10 @@
 			return err
 		}
 	}
+	for id, e := range ends {
+		if _, err := protodelim.MarshalTo(w, e.toProto(id)); err != nil {
+			return err
+		}
+	}
 	return nil
 }
