Send undelivered ends one request at a time, and keep them until they are answered

A try is now one request to one host, and to the leader that it names, another host each time, with jitter.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -216,6 +216,7 @@
 	if errors.As(err, &e) && e.Code() == twirp.FailedPrecondition {
 		return f.redirect(addr, e.Meta(LeaderMeta))
 	}
+	f.redirects = 0
 	f.failedAt[addr] = time.Now()
 	if !f.disconnected && ctx.Err() == nil {
 		f.disconnected = true
--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -92,9 +92,7 @@
 			case errors.As(err, &e) && (e.Code() == twirp.NotFound || e.Code() == twirp.InvalidArgument):
 				return err
 			case errors.As(err, &e) && e.Code() == twirp.FailedPrecondition:
-				if lead = e.Meta(feed.LeaderMeta); lead == addr {
-					lead = ""
-				}
+				lead = namedLeader(err, addr)
 			case !unsent(err):
 				o.Definite = false
 			}
@@ -147,6 +145,36 @@
 	})
 }
 
+// endOnce sends an end to one store host and follows the leader that it names. last is the host
+// that was called before, attempts the number of earlier calls.
+func (c *storeClient) endOnce(ctx context.Context, q *fleet.BatchKey, last string, attempts int) (callOutcome, error) {
+	start := time.Now()
+	o := callOutcome{Addr: c.nextAddr(last, attempts)}
+	err := errNoStoreAddress
+	for addr := o.Addr; addr != "" && o.Attempts <= maxRedirects; addr = namedLeader(err, addr) {
+		o.Attempts, o.Addr = o.Attempts+1, addr
+		err = c.callOnce(ctx, addr, 0, func(ctx context.Context, c fleet.Batches) error {
+			_, err := c.End(ctx, q)
+			return err
+		})
+	}
+	o.Duration = time.Since(start)
+	return o, err
+}
+
+// namedLeader returns the leader that the host at addr has named in an error, empty if it named
+// none.
+func namedLeader(err error, addr string) string {
+	var e twirp.Error
+	if !errors.As(err, &e) || e.Code() != twirp.FailedPrecondition {
+		return ""
+	}
+	if lead := e.Meta(feed.LeaderMeta); lead != addr {
+		return lead
+	}
+	return ""
+}
+
 // unsent reports whether a call definitely did not leave this host.
 func unsent(err error) bool {
 	var op *net.OpError
@@ -240,7 +268,7 @@
 // End ends a batch; its open items are not run any more. If the error is ErrOutcomeUnknown, the
 // end is delivered once the store group has a leader.
 func (s *Server) End(ctx context.Context, q *fleet.BatchKey) error {
-	if !utf8.ValidString(q.Batch) {
+	if q.Batch == "" || !utf8.ValidString(q.Batch) {
 		return ErrNoBatch // it cannot be encoded, so no batch has this ID
 	}
 	asked := time.Now()
--- a/internal/process/gateway/ends.go
+++ b/internal/process/gateway/ends.go
@@ -12,8 +12,12 @@
 	"github.com/plantainbank/plantainbank/service/fleet"
 )
 
-// endPollInterval is the interval between checks whether all ends have been delivered.
-const endPollInterval = 20 * time.Millisecond
+const (
+	// endPollInterval is the interval between checks whether all ends have been delivered.
+	endPollInterval = 20 * time.Millisecond
+	// endLogInterval is the number of failed calls for each of which one is logged.
+	endLogInterval = 10
+)
 
 // endSender delivers the ends of batches that their callers' own calls could not deliver. A
 // caller may give up after a few attempts, but the items of its batch run until the end is
@@ -26,10 +30,15 @@
 
 	mu    sync.Mutex
 	queue *endqueue.Queue
+
+	// tries is the number of calls in a row that failed, last the host of the latest one. Only
+	// the goroutine of run uses them.
+	tries int
+	last  string
 }
 
-func newEndSender(stores *storeClient, log *logrus.Entry, scope tally.Scope, retention time.Duration) *endSender {
-	return &endSender{stores: stores, log: log, scope: scope, wake: make(chan struct{}, 1), queue: endqueue.New(retention)}
+func newEndSender(stores *storeClient, log *logrus.Entry, scope tally.Scope) *endSender {
+	return &endSender{stores: stores, log: log, scope: scope, wake: make(chan struct{}, 1), queue: endqueue.New()}
 }
 
 // add queues an end that may not have been delivered.
@@ -38,7 +47,9 @@
 	dropped := s.queue.Add(x, time.Now())
 	s.scope.Gauge("ends_waiting").Update(float64(s.queue.Len()))
 	s.mu.Unlock()
-	s.logLost(dropped, "too many ends are waiting")
+	for _, x := range dropped {
+		s.log.WithField("batch", x.Batch).Warn("batch end given up, too many are waiting")
+	}
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -70,28 +81,31 @@
 
 func (s *endSender) next(now time.Time) (x endqueue.End, wait time.Duration, ok bool) {
 	s.mu.Lock()
-	expired := s.queue.Expire(now)
-	x, wait, ok = s.queue.Next(now)
-	s.mu.Unlock()
-	s.logLost(expired, "the batch is not stored any more")
-	return x, wait, ok
+	defer s.mu.Unlock()
+	return s.queue.Next(now)
 }
 
-// deliver sends one end to the store leader.
+// deliver sends one end to a store host, each time to another one while none leads.
 func (s *endSender) deliver(ctx context.Context, x endqueue.End) {
-	o, err := s.stores.end(ctx, &fleet.BatchKey{Batch: x.Batch, Workspace: x.Workspace})
+	s.tries++
+	o, err := s.stores.endOnce(ctx, &fleet.BatchKey{Batch: x.Batch, Workspace: x.Workspace}, s.last, s.tries)
+	s.last = o.Addr
 	known := !isNotFound(err)
 	now := time.Now()
+	fields := logrus.Fields{"batch": x.Batch, "known": known, "age_ms": now.Sub(x.Asked).Milliseconds()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil && known {
 		s.queue.Failed(x, now)
+		if s.tries%endLogInterval == 1 {
+			s.log.WithFields(fields).WithFields(o.logFields()).WithField("tries", s.tries).WithError(err).Warn("batch end not delivered yet")
+		}
 		return
 	}
+	s.tries = 0
 	s.queue.Delivered(x)
 	s.scope.Gauge("ends_waiting").Update(float64(s.queue.Len()))
-	s.log.WithFields(logrus.Fields{"batch": x.Batch, "known": known, "age_ms": now.Sub(x.Asked).Milliseconds()}).
-		WithFields(o.logFields()).Info("batch end delivered late")
+	s.log.WithFields(fields).WithFields(o.logFields()).Info("batch end delivered late")
 }
 
 // await waits until all ends have been delivered or ctx ends.
@@ -113,9 +127,3 @@
 		}
 	}
 }
-
-func (s *endSender) logLost(ends []endqueue.End, reason string) {
-	for _, x := range ends {
-		s.log.WithFields(logrus.Fields{"batch": x.Batch, "reason": reason}).Warn("batch end given up")
-	}
-}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -77,7 +77,7 @@
 		Client: cfg.Client, Log: cfg.Log, Report: s.fillReport, Changed: s.applyUpdate,
 		Quarantine: func(cases []*fleet.Case) { s.quarantine.Merge(cases, time.Now()) }}, cfg.Site.ControlAddrs())
 	s.stores = &storeClient{client: cfg.Client, log: cfg.Log, state: s.feed.State}
-	s.ends = newEndSender(s.stores, cfg.Log, cfg.Scope, cfg.Site.Bounds.ResultRetention.Duration())
+	s.ends = newEndSender(s.stores, cfg.Log, cfg.Scope)
 	return s
 }
 
--- a/internal/request/endqueue/queue.go
+++ b/internal/request/endqueue/queue.go
@@ -1,6 +1,7 @@
 package endqueue
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -8,7 +9,7 @@
 // Limits of a queue.
 const (
 	// MaxEnds is the maximum number of ends that a queue holds. Those that were asked for first
-	// are dropped first: their items expire soonest.
+	// are dropped first.
 	MaxEnds = 4096
 	// MinDelay and MaxDelay bound the delay after a failed call.
 	MinDelay = 50 * time.Millisecond
@@ -24,8 +25,9 @@
 
 // Queue holds the ends that have not been delivered. It is not safe for concurrent use.
 type Queue struct {
-	// retention is how long an end is kept; the batch is deleted after that time.
-	retention time.Duration
+	// Jitter returns a random fraction in [0, 1) that shortens a delay by up to a half, so that
+	// the hosts of a site do not call at the same time.
+	Jitter func() float64
 	// ends holds at most one entry for each batch of a workspace, in the order of the calls.
 	ends []End
 	// delay is the delay after the next failure, retryAt the time of the next call.
@@ -34,7 +36,7 @@
 }
 
 // New returns an empty queue.
-func New(retention time.Duration) *Queue { return &Queue{retention: retention, delay: MinDelay} }
+func New() *Queue { return &Queue{Jitter: rand.Float64, delay: MinDelay} }
 
 // Add queues an end, unless it is queued already. The first call is due after MinDelay, since
 // the caller's own has just failed.
@@ -94,21 +96,9 @@
 	if i := q.index(x); i >= 0 {
 		q.ends = append(slices.Delete(q.ends, i, i+1), x)
 	}
-	q.retryAt = now.Add(q.delay)
+	q.retryAt = now.Add(q.delay - time.Duration(q.Jitter()*float64(q.delay)/2))
 	q.delay = min(2*q.delay, MaxDelay)
 }
 
-// Expire removes and returns the ends that are older than the retention.
-func (q *Queue) Expire(now time.Time) (expired []End) {
-	q.ends = slices.DeleteFunc(q.ends, func(x End) bool {
-		old := now.Sub(x.Asked) > q.retention
-		if old {
-			expired = append(expired, x)
-		}
-		return old
-	})
-	return expired
-}
-
 // Len returns the number of ends that have not been delivered.
 func (q *Queue) Len() int { return len(q.ends) }
