Show how long a change takes until each host has it

On the large deployment requests met an older configuration 3 s after a change was confirmed, and no log or metric said which host was late, or why. The leader now follows each change of the catalog and the roster until all live hosts report it: a metric, a line with the slowest host, and a warning that names the hosts that still lack it after 10 s. No logic changes.

--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -170,7 +170,9 @@
 // onLeader runs f on the control goroutine if this process leads.
 func (s *Server) onLeader(ctx context.Context, f func(l *leadership) error) error {
 	var inner error
+	called := time.Now()
 	err := s.do(ctx, func() {
+		s.cfg.Scope.Timer("control_wait").Record(time.Since(called))
 		addr, self := s.Leader()
 		if !self || s.leadership == nil {
 			inner = &NotLeaderError{Addr: addr}
@@ -206,6 +208,7 @@
 		s.log.WithError(err).Error("cannot decode a replicated command")
 	}
 	if changed {
+		s.catalogChanged(time.Now())
 		s.notify()
 	}
 	return changed
--- a/internal/process/director/leadership.go
+++ b/internal/process/director/leadership.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainbank/plantainbank/internal/connection/ratelimit"
+	"github.com/plantainbank/plantainbank/internal/process/propagation"
 	"github.com/plantainbank/plantainbank/internal/process/roster"
 	"github.com/plantainbank/plantainbank/internal/process/weights"
 	"github.com/plantainbank/plantainbank/internal/request/origin"
@@ -39,6 +40,8 @@
 	planner      *weights.Planner
 	limits       *ratelimit.Ledger
 	streams      *origin.Table
+	// catalogChanges and rosterChanges follow changes until all hosts have them.
+	catalogChanges, rosterChanges propagation.Tracker
 	// accepted is the number of orders that an engine has accepted, by incarnation of the
 	// instance.
 	accepted map[instanceKey]uint64
--- a/internal/process/director/operator.go
+++ b/internal/process/director/operator.go
@@ -71,12 +71,12 @@
 // Announce records an announcement of a backend server.
 func (s *Server) Announce(ctx context.Context, x roster.Instance) error {
 	return s.onLeader(ctx, func(l *leadership) error {
-		before := l.roster.Revision
+		before, beforeRouting := l.roster.Revision, l.roster.RoutingRevision
 		newer := l.roster.Announce(x, time.Now())
 		if newer {
 			s.heardOf(x, time.Now())
 		}
-		s.rosterChanged(l, before, x.ID, string(x.State), newer)
+		s.rosterChanged(l, before, beforeRouting, x.ID, string(x.State), newer)
 		return nil
 	})
 }
@@ -84,14 +84,14 @@
 // Depart records that a backend server leaves.
 func (s *Server) Depart(ctx context.Context, id string, born int64) error {
 	return s.onLeader(ctx, func(l *leadership) error {
-		before := l.roster.Revision
+		before, beforeRouting := l.roster.Revision, l.roster.RoutingRevision
 		l.roster.Depart(id, born, time.Now())
-		s.rosterChanged(l, before, id, string(roster.Gone), true)
+		s.rosterChanged(l, before, beforeRouting, id, string(roster.Gone), true)
 		return nil
 	})
 }
 
-func (s *Server) rosterChanged(l *leadership, before uint64, id, state string, newer bool) {
+func (s *Server) rosterChanged(l *leadership, before, beforeRouting uint64, id, state string, newer bool) {
 	if !newer {
 		s.cfg.Scope.Counter("late_announcements").Inc(1)
 	}
@@ -101,5 +101,6 @@
 	x, _ := l.roster.Get(id)
 	s.log.WithFields(logrus.Fields{"instance": id, "state": state, "addr": x.Addr, "born": x.Born, "seq": x.Seq,
 		"weights": x.Weights, "roster": l.roster.Revision}).Info("instance changed")
+	s.rosterRevised(l, beforeRouting, time.Now())
 	s.notify()
 }
--- a/internal/process/director/tasks.go
+++ b/internal/process/director/tasks.go
@@ -58,6 +58,7 @@
 	if l.roster.Revision != before {
 		s.notify()
 	}
+	s.logLateChanges(l, now)
 	s.chooseStoreVoters(l, now)
 	s.saveRoster(ctx, l, now)
 	if !s.mayAct(ctx, l, now) {
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -114,6 +114,7 @@
 func (s *Server) handleReport(l *leadership, q *fleet.Report, now time.Time) {
 	before := storeLeaderAddr(l, now)
 	l.recordReport(q, now)
+	s.followChanges(l, q, now)
 	s.mergeCases(q.Host.Name, q.Cases, now)
 	if storeLeaderAddr(l, now) != before {
 		s.notify()
@@ -145,6 +146,7 @@
 }
 
 func (s *Server) update(l *leadership, q *fleet.Report, now time.Time) *fleet.News {
+	start := time.Now()
 	n := &fleet.News{Term: l.term, Catalog: s.catalog.Revision, Lead: storeLeaderAddr(l, now),
 		Entries: uint32(len(l.liveHosts(settings.RoleEntry, now))), Rank: entryRank(l, q, now)}
 	if q.Catalog < s.catalog.Revision {
@@ -166,6 +168,8 @@
 	for _, m := range s.replica.Node().Status().Members {
 		n.Controls = append(n.Controls, m.Addr)
 	}
+	s.cfg.Scope.Timer("update_build").Record(time.Since(start))
+	s.cfg.Scope.Counter("update_bytes").Inc(int64(len(n.State) + len(n.Instances)))
 	return n
 }
 
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainbank/plantainbank/internal/process/catalog"
 	"github.com/plantainbank/plantainbank/internal/process/roster"
@@ -301,6 +302,7 @@
 
 // apply replaces the state by one with the update applied.
 func (f *Feed) apply(n *fleet.News) error {
+	start := time.Now()
 	old := f.State()
 	s := *old
 	s.Term, s.Stores, s.EntryHosts = n.Term, n.Stores, int(n.Entries)
@@ -342,23 +344,24 @@
 	}
 	f.mu.Unlock()
 	f.state.Store(&s)
-	f.logChanges(old, &s)
+	f.logChanges(old, &s, logrus.Fields{"bytes": proto.Size(n), "took_ms": time.Since(start).Milliseconds()})
 	f.cfg.Changed(&s)
 	return nil
 }
 
-// logChanges logs changes of the catalog, the roster and the store leader.
-func (f *Feed) logChanges(old, s *State) {
+// logChanges logs changes of the catalog, the roster and the store leader. cost is what the update
+// cost this host.
+func (f *Feed) logChanges(old, s *State, cost logrus.Fields) {
 	if s.Catalog != old.Catalog {
 		version := uint64(0)
 		if s.Table != nil {
 			version = s.Table.Config.Version
 		}
-		f.cfg.Log.WithFields(logrus.Fields{"catalog": s.Catalog, "config": version, "zones_out": len(s.Public.ZonesOut)}).
+		f.cfg.Log.WithFields(cost).WithFields(logrus.Fields{"catalog": s.Catalog, "config": version, "zones_out": len(s.Public.ZonesOut)}).
 			Info("catalog changed")
 	}
 	if s.Roster != old.Roster {
-		f.cfg.Log.WithFields(logrus.Fields{"roster": s.Roster, "instances": len(s.Instances)}).Info("roster changed")
+		f.cfg.Log.WithFields(cost).WithFields(logrus.Fields{"roster": s.Roster, "instances": len(s.Instances)}).Info("roster changed")
 	}
 	if s.StoreLeader != old.StoreLeader {
 		f.cfg.Log.WithField("store", s.StoreLeader).Info("store leader changed")
