Show with a test that a small change is sent as whole copies

At 3,000 routes and 600 backend servers each host gets 558,441 bytes for a new version that changes nothing else, and 160,757 for one server that leaves.

--- /dev/null
+++ b/internal/process/director/update_test.go
@@ -0,0 +1,188 @@
+package director
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/plantainbank/plantainbank/internal/process/feed"
+	"github.com/plantainbank/plantainbank/internal/process/roster"
+	"github.com/plantainbank/plantainbank/internal/version/routing"
+	"github.com/plantainbank/plantainbank/pkg/process/disk"
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
+	"github.com/plantainbank/plantainbank/service/fleet"
+)
+
+// testLeader is a control process that leads a group of one.
+type testLeader struct {
+	*Server
+	addr string
+	// sent is the number of bytes of all its responses.
+	sent atomic.Int64
+}
+
+type countingWriter struct {
+	http.ResponseWriter
+	sent *atomic.Int64
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.sent.Add(int64(len(p)))
+	return w.ResponseWriter.Write(p)
+}
+
+func startLeader(t *testing.T) *testLeader {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := ln.Addr().(*net.TCPAddr).Port
+	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+	site := settings.Site{Role: settings.RoleControl, Host: "control-1", Zone: "a", IP: "127.0.0.1", Ports: []int{port, port},
+		Seeds: []string{addr}, Bootstrap: true, DataDir: t.TempDir(), MemoryMB: 512,
+		Bounds: settings.Bounds{Lease: 3000, Grace: 1000, Window: 10000, ResultRetention: 10000}}
+	log := logrus.NewEntry(logrus.New())
+	log.Logger.SetOutput(t.Output())
+	log.Logger.SetLevel(logrus.WarnLevel)
+	s, err := New(Config{Site: site, Log: log, Scope: tally.NoopScope, Files: disk.RealFiles(), Timing: quorum.FastFailoverTiming(),
+		Client: &http.Client{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &testLeader{Server: s, addr: addr}
+	handler := s.Handler()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler.ServeHTTP(&countingWriter{w, &l.sent}, r)
+	})}
+	ctx, cancel := context.WithCancel(t.Context())
+	served, ran := make(chan struct{}), make(chan struct{})
+	go func() { defer close(served); _ = server.Serve(ln) }()
+	go func() { defer close(ran); _ = s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		server.Close()
+		<-served
+		<-ran
+		s.Close()
+	})
+	waitUntil(t, "a leader", func() bool { _, self := s.Leader(); return self })
+	return l
+}
+
+func (l *testLeader) startHosts(t *testing.T, n int) []*feed.Feed {
+	t.Helper()
+	log := logrus.NewEntry(logrus.New())
+	log.Logger.SetOutput(t.Output())
+	log.Logger.SetLevel(logrus.WarnLevel)
+	var all []*feed.Feed
+	for i := range n {
+		name := fmt.Sprintf("entry-%d", i)
+		f := feed.New(feed.Config{Role: settings.RoleEntry, Host: name, Incarnation: 1, Client: &http.Client{}, Log: log,
+			Report: func(q *fleet.Report) { q.Host = &fleet.Host{Name: name, Zone: "a"} }, Changed: func(*feed.State) {}}, []string{l.addr})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		t.Cleanup(func() { cancel(); <-done })
+		all = append(all, f)
+	}
+	return all
+}
+
+func waitUntil(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timed out waiting for %s", what)
+		}
+	}
+}
+
+// largeConfig returns a configuration with n routes of about 200 bytes each.
+func largeConfig(version uint64, n int) *routing.Config {
+	c := &routing.Config{Version: version, Services: []routing.Service{{Name: "proofer"}}}
+	for i := range n {
+		c.Routes = append(c.Routes, routing.Route{Name: fmt.Sprintf("route-%d", i), Host: fmt.Sprintf("host-%d.example", i%50),
+			Prefix: fmt.Sprintf("/%x/", i*7919), Kind: routing.Idempotent, Timeout: 5 * time.Second, TargetLatency: time.Second,
+			Targets: []routing.Target{{Service: "proofer", Weight: 1}}, MaxAttempts: 3})
+	}
+	return c
+}
+
+// TestChangeIsNotSentAsWholeCopies guards against sending the whole catalog or roster to each host
+// for a change of a small part: on large fleets the copies kept changes from hosts for seconds.
+func TestChangeIsNotSentAsWholeCopies(t *testing.T) {
+	const hosts, routes, instances = 8, 3000, 600
+	l := startLeader(t)
+	ctx := t.Context()
+	if err := l.PutConfig(ctx, nil, largeConfig(1, routes)); err != nil {
+		t.Fatal(err)
+	}
+	announce := func(i int, state roster.State, seq uint64) {
+		t.Helper()
+		x := roster.Instance{ID: fmt.Sprintf("i-%04d", i), Service: "proofer", Addr: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), Zone: "a",
+			Slots: 4, State: state, Born: 1000, Seq: seq}
+		if err := l.Announce(ctx, x); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range instances {
+		announce(i, roster.Ready, 1)
+	}
+	all := l.startHosts(t, hosts)
+	version := func(v uint64) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(all, func(f *feed.Feed) bool {
+				table := f.State().Table
+				return table == nil || table.Config.Version < v
+			})
+		}
+	}
+	waitUntil(t, "the first copies", func() bool {
+		return version(1)() && !slices.ContainsFunc(all, func(f *feed.Feed) bool { return len(f.State().Instances) < instances })
+	})
+	draining := func(i int) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(all, func(f *feed.Feed) bool { return f.State().Instances[i].State != roster.Draining })
+		}
+	}
+	moreRoutes := largeConfig(3, routes+10)
+	lessRoutes := largeConfig(4, routes+10)
+	lessRoutes.Routes = slices.Delete(lessRoutes.Routes, 1000, 1500)
+	for _, c := range []struct {
+		name   string
+		change func() error
+		done   func() bool
+		// most is the number of bytes that the change may cost for each host.
+		most int64
+	}{
+		{"version only", func() error { return l.PutConfig(ctx, nil, largeConfig(2, routes)) }, version(2), 4 << 10},
+		{"ten routes more", func() error { return l.PutConfig(ctx, nil, moreRoutes) }, version(3), 8 << 10},
+		{"500 routes removed", func() error { return l.PutConfig(ctx, nil, lessRoutes) }, version(4), 4 << 10},
+		{"a server leaves", func() error { announce(17, roster.Draining, 2); return nil }, draining(17), 4 << 10},
+	} {
+		before := l.sent.Load()
+		if err := c.change(); err != nil {
+			t.Fatal(err)
+		}
+		waitUntil(t, c.name, c.done)
+		if cost := (l.sent.Load() - before) / hosts; cost > c.most {
+			t.Errorf("%s: %d bytes for each host, at most %d", c.name, cost, c.most)
+		}
+	}
+	for _, f := range all {
+		if got := f.State().Table.Config; !slices.EqualFunc(got.Routes, lessRoutes.Routes, func(a, b routing.Route) bool { return a.Name == b.Name }) {
+			t.Errorf("%d routes at a host, or in another order, want %d", len(got.Routes), len(lessRoutes.Routes))
+		}
+	}
+}
