Send hosts what has changed instead of whole copies

Callers of large fleets met an older configuration seconds after a change was confirmed, and their requests reached servers that had announced that they leave. Each change of a route, a zone, a published weight version or a server sent the whole catalog or roster to every host, encoded anew for each of them on the thread on which the control leader does everything else. A host whose copy was late dropped it and asked again. In the incident's own logs 57 of 66 hosts lost control within a second while nothing disturbed the leader, which sent up to 66 MB/s.

A host now gets the differences from its revision: lists are described by runs of the former list, computed once when a change is committed, and kept by every control process, so that a new leader has them. The roster knows the revision of each entry. Full copies, for new hosts and after gaps, are compressed and encoded once for all hosts, outside the control thread, and a call that only looks for the leader gets none. A difference that does not apply is followed by a full copy. Hosts of the release before get plain copies as before. The number, rank and roles of live hosts are no longer computed for each answer from all hosts.

--- a/internal/process/catalog/catalog.go
+++ b/internal/process/catalog/catalog.go
@@ -36,9 +36,11 @@
 	// Instances are the backend servers that a leader last stored, so that requests find
 	// servers right after a restart of all processes.
 	Instances []roster.Instance `json:"instances,omitempty"`
+	// differences are not saved: every process that applies the same commands has them.
+	differences differences
 }
 
-// Public is the part of the catalog that is sent to every host.
+// Public is the part of the catalog that is sent to every host. What it refers to is never modified.
 type Public struct {
 	// Config is nil until the first configuration is accepted.
 	Config *routing.Config `json:"config,omitempty"`
@@ -147,8 +149,10 @@
 	if err := json.Unmarshal(data, &x); err != nil {
 		return false, fmt.Errorf("cannot decode the catalog command at index %d: %w", index, err)
 	}
+	before := c.Public
 	changed = c.apply(index, &x)
 	if changed {
+		c.differences.add(c.Revision, index, before, c.Public)
 		c.Revision = index
 	}
 	return changed, nil
--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -97,6 +97,8 @@
 	// quarantine holds the requests under which servers ended. It outlives a leadership; other
 	// processes that lead send their copy.
 	quarantine *quarantine.Table
+	// copies holds encoded full copies of the catalog and the roster.
+	copies copyCache
 	// started is the start time of the process.
 	started time.Time
 	// changed is closed and replaced to make waiting calls check the state again.
--- a/internal/process/director/leadership.go
+++ b/internal/process/director/leadership.go
@@ -36,10 +36,16 @@
 	actFrom      time.Time
 	establishing bool
 	roster       *roster.Table
-	hosts        map[string]*host
-	planner      *weights.Planner
-	limits       *ratelimit.Ledger
-	streams      *origin.Table
+	// hosts holds the latest reports, by role and name.
+	hosts map[string]map[string]*host
+	// ranks holds the result of entryRanks, ranksAt is when it was computed.
+	ranks   map[string]uint32
+	ranksAt time.Time
+	// copied holds the result of instancesFor, by role.
+	copied  map[string]rosterCopy
+	planner *weights.Planner
+	limits  *ratelimit.Ledger
+	streams *origin.Table
 	// catalogChanges and rosterChanges follow changes until all hosts have them.
 	catalogChanges, rosterChanges propagation.Tracker
 	// accepted is the number of orders that an engine has accepted, by incarnation of the
@@ -61,6 +67,12 @@
 	storesReadyAt time.Time
 }
 
+// rosterCopy is the roster at a revision.
+type rosterCopy struct {
+	revision uint64
+	all      []roster.Instance
+}
+
 // instanceKey identifies one incarnation of a backend server.
 type instanceKey struct {
 	id   string
@@ -70,7 +82,6 @@
 // host holds the latest report of a host.
 type host struct {
 	*fleet.Host
-	role        string
 	incarnation uint64
 	lastReport  time.Time
 	leaving     bool
@@ -80,7 +91,7 @@
 }
 
 func newLeadership(term uint64, now time.Time) *leadership {
-	return &leadership{term: term, since: now, roster: roster.New(term << 32), hosts: map[string]*host{},
+	return &leadership{term: term, since: now, roster: roster.New(term << 32), hosts: map[string]map[string]*host{}, copied: map[string]rosterCopy{},
 		planner: weights.New(), limits: ratelimit.NewLedger(), streams: origin.NewTable(maxStreamRecords), accepted: map[instanceKey]uint64{}}
 }
 
@@ -102,15 +113,20 @@
 
 // recordReport stores a report, unless a later incarnation of the host has reported.
 func (l *leadership) recordReport(q *fleet.Report, now time.Time) *host {
-	key := q.Role + " " + q.Host.Name
-	h := l.hosts[key]
+	h := l.hosts[q.Role][q.Host.Name]
 	if h == nil || q.Incarnation > h.incarnation {
-		h = &host{incarnation: q.Incarnation, usage: map[uint64]map[string]uint64{}, role: q.Role}
-		l.hosts[key] = h
+		h = &host{incarnation: q.Incarnation, usage: map[uint64]map[string]uint64{}}
+		if l.hosts[q.Role] == nil {
+			l.hosts[q.Role] = map[string]*host{}
+		}
+		l.hosts[q.Role][q.Host.Name] = h
 	}
 	if q.Incarnation < h.incarnation {
 		return h
 	}
+	if now.Sub(h.lastReport) >= hostTimeout {
+		l.ranks = nil // the host was not live
+	}
 	h.Host, h.lastReport, h.leaving, h.replica = q.Host, now, q.Leaving, q.Replica
 	for _, w := range q.Usage {
 		h.usage[w.Number] = w.Counts
@@ -121,19 +137,36 @@
 // liveHosts returns the live hosts of a role.
 func (l *leadership) liveHosts(role string, now time.Time) []*host {
 	var out []*host
-	for _, h := range l.hosts {
-		if h.role == role && now.Sub(h.lastReport) < hostTimeout {
+	for _, h := range l.hosts[role] {
+		if now.Sub(h.lastReport) < hostTimeout {
 			out = append(out, h)
 		}
 	}
 	return out
 }
 
+// ranksTTL is how long the ranks of the entry hosts are used.
+const ranksTTL = 100 * time.Millisecond
+
+// entryRanks returns the position of each live entry host among them by name, from 1. The result
+// is shared and must not be modified.
+func (l *leadership) entryRanks(now time.Time) map[string]uint32 {
+	if l.ranks != nil && now.Sub(l.ranksAt) < ranksTTL {
+		return l.ranks
+	}
+	sorted := sortedHosts(l.liveHosts(settings.RoleEntry, now))
+	l.ranks, l.ranksAt = make(map[string]uint32, len(sorted)), now
+	for i, h := range sorted {
+		l.ranks[h.Name] = uint32(i + 1)
+	}
+	return l.ranks
+}
+
 // storeLeader returns the leader of the store group according to the store hosts'
 // reports.
 func (l *leadership) storeLeader(now time.Time) *host {
 	var lead *host
-	for _, h := range l.hosts {
+	for _, h := range l.hosts[settings.RoleStore] {
 		if h.replica == nil || !h.replica.Leader || now.Sub(h.lastReport) >= hostTimeout {
 			continue
 		}
@@ -146,8 +179,7 @@
 
 // rosterRevision returns the roster revision that hosts of a role should have. Entry
 // hosts do not choose by weights, so weight changes alone do not reach them: weights
-// change several times a second, there are many entry hosts, and the roster is always
-// sent complete.
+// change several times a second, and there are many entry hosts.
 func (l *leadership) rosterRevision(role string) uint64 {
 	if role == settings.RoleEntry {
 		return l.roster.RoutingRevision
@@ -155,12 +187,19 @@
 	return l.roster.Revision
 }
 
-// instancesFor returns the instances that hosts of a role should have.
+// instancesFor returns the instances that hosts of a role should have. The result is shared and
+// must not be modified.
 func (l *leadership) instancesFor(role string) []roster.Instance {
+	revision := l.rosterRevision(role)
+	if c, ok := l.copied[role]; ok && c.revision == revision {
+		return c.all
+	}
+	all := l.roster.All()
 	if role == settings.RoleEntry {
-		return l.roster.AllWithoutWeights()
+		all = l.roster.AllWithoutWeights()
 	}
-	return l.roster.All()
+	l.copied[role] = rosterCopy{revision, all}
+	return all
 }
 
 // clockMargin is added to a time that another host's clock measured; clocks differ by seconds.
--- a/internal/process/director/limits.go
+++ b/internal/process/director/limits.go
@@ -58,16 +58,3 @@
 	}
 	return l.term<<32 + l.limits.Revision
 }
-
-// entryRank returns the position of an entry host among the live ones, from 1; 0 for other hosts.
-func entryRank(l *leadership, q *fleet.Report, now time.Time) uint32 {
-	if q.Role != settings.RoleEntry {
-		return 0
-	}
-	for i, h := range sortedHosts(l.liveHosts(settings.RoleEntry, now)) {
-		if h.Name == q.Host.Name {
-			return uint32(i + 1)
-		}
-	}
-	return 0
-}
--- a/internal/process/director/stores.go
+++ b/internal/process/director/stores.go
@@ -139,7 +139,7 @@
 			return &UnknownHostError{name}
 		}
 		lead := l.storeLeader(time.Now())
-		h := l.hosts[settings.RoleStore+" "+name]
+		h := l.hosts[settings.RoleStore][name]
 		if lead == nil || h == nil {
 			return nil
 		}
--- a/internal/process/director/update_test.go
+++ b/internal/process/director/update_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/plantainbank/plantainbank/internal/process/catalog"
 	"github.com/plantainbank/plantainbank/internal/process/feed"
 	"github.com/plantainbank/plantainbank/internal/process/roster"
 	"github.com/plantainbank/plantainbank/internal/version/routing"
@@ -89,7 +91,8 @@
 	for i := range n {
 		name := fmt.Sprintf("entry-%d", i)
 		f := feed.New(feed.Config{Role: settings.RoleEntry, Host: name, Incarnation: 1, Client: &http.Client{}, Log: log,
-			Report: func(q *fleet.Report) { q.Host = &fleet.Host{Name: name, Zone: "a"} }, Changed: func(*feed.State) {}}, []string{l.addr})
+			Report: func(q *fleet.Report) { q.Host = &fleet.Host{Name: name, Zone: "a"} }, Changed: func(*feed.State) {},
+			Quarantine: func([]*fleet.Case) {}, Limits: func([]*fleet.Limit) {}}, []string{l.addr})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); f.Run(ctx) }()
@@ -186,3 +189,80 @@
 		}
 	}
 }
+
+// TestHostsOfTheReleaseBeforeGetPlainCopies guards updates host by host: such hosts read neither
+// differences nor compressed copies.
+func TestHostsOfTheReleaseBeforeGetPlainCopies(t *testing.T) {
+	l := startLeader(t)
+	for v := range uint64(3) {
+		if err := l.PutConfig(t.Context(), nil, largeConfig(v+1, 20)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := l.Announce(t.Context(), roster.Instance{ID: "i", Service: "proofer", State: roster.Ready, Born: 1, Seq: 1}); err != nil {
+		t.Fatal(err)
+	}
+	var n *fleet.News
+	waitUntil(t, "an update", func() bool {
+		var err error
+		n, err = l.Watch(t.Context(), &fleet.Report{Host: &fleet.Host{Name: "entry-1"}, Role: settings.RoleEntry, Incarnation: 1})
+		return err == nil && n.Roster > 0
+	})
+	public, err := catalog.DecodePublic(n.State, false)
+	if err != nil || n.Compressed || n.Partial || len(n.Changes) > 0 || public.Config.Version != 3 {
+		t.Errorf("got compressed %v, partial %v, %d differences, error %v", n.Compressed, n.Partial, len(n.Changes), err)
+	}
+	var instances []roster.Instance
+	if err := json.Unmarshal(n.Instances, &instances); err != nil || len(instances) != 1 {
+		t.Errorf("got %d instances, error %v", len(instances), err)
+	}
+}
+
+// TestSearchGetsNoFullCopies guards against a host that cannot find the leader, since each call ends
+// before a full copy has arrived.
+func TestSearchGetsNoFullCopies(t *testing.T) {
+	l := startLeader(t)
+	if err := l.PutConfig(t.Context(), nil, largeConfig(1, 20)); err != nil {
+		t.Fatal(err)
+	}
+	ask := func(waitMS uint32) *fleet.News {
+		t.Helper()
+		n, err := l.Watch(t.Context(), &fleet.Report{Host: &fleet.Host{Name: "entry-1"}, Role: settings.RoleEntry, Incarnation: 1,
+			Differences: true, Waitms: waitMS})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	if n := ask(0); n.Catalog == 0 || len(n.State) > 0 || n.Roster > 0 {
+		t.Errorf("a search got catalog %d with %d bytes, roster %d", n.Catalog, len(n.State), n.Roster)
+	}
+	if n := ask(800); len(n.State) == 0 || !n.Compressed {
+		t.Errorf("the call after it got %d bytes, compressed %v", len(n.State), n.Compressed)
+	}
+}
+
+// TestCopiesAreEncodedOnce counts how often a full copy is encoded for many hosts.
+func TestCopiesAreEncodedOnce(t *testing.T) {
+	var c copyCache
+	encoded := 0
+	get := func(revision uint64) string {
+		return string(c.get(copyKey{kind: fullCatalog}, revision, func() []byte {
+			encoded++
+			return []byte(fmt.Sprint(revision))
+		}))
+	}
+	for revision := range uint64(5) {
+		for range 300 {
+			if got := get(revision); got != fmt.Sprint(revision) {
+				t.Fatalf("got the copy of revision %s, want %d", got, revision)
+			}
+		}
+	}
+	if encoded != 5 {
+		t.Errorf("encoded %d times, want 5", encoded)
+	}
+	if get(2) != "2" || get(4) != "4" || encoded != 6 {
+		t.Errorf("a late call for an earlier revision replaced the latest copy: encoded %d times", encoded)
+	}
+}
--- a/internal/process/director/usage.go
+++ b/internal/process/director/usage.go
@@ -44,9 +44,11 @@
 // sumUsage adds up the counts that the hosts reported for a window.
 func (l *leadership) sumUsage(n uint64) map[string]uint64 {
 	sum := map[string]uint64{}
-	for _, h := range l.hosts {
-		for workspace, c := range h.usage[n] {
-			sum[workspace] += c
+	for _, role := range l.hosts {
+		for _, h := range role {
+			for workspace, c := range h.usage[n] {
+				sum[workspace] += c
+			}
 		}
 	}
 	return sum
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/twitchtv/twirp"
 
+	"github.com/plantainbank/plantainbank/internal/process/catalog"
+	"github.com/plantainbank/plantainbank/internal/process/roster"
 	"github.com/plantainbank/plantainbank/pkg/process/quorum"
 	"github.com/plantainbank/plantainbank/pkg/process/settings"
 	"github.com/plantainbank/plantainbank/service/fleet"
@@ -46,7 +45,7 @@
 	defer timer.Stop()
 	recorded, lead := false, ""
 	for last := q.Waitms == 0; ; {
-		var update *fleet.News
+		var u *update
 		var changed chan struct{}
 		err := s.onLeader(ctx, func(l *leadership) error {
 			now := time.Now()
@@ -55,19 +54,22 @@
 				recorded, lead = true, storeLeaderAddr(l, now)
 			}
 			if last || s.hasUpdate(l, q, now) || storeLeaderAddr(l, now) != lead {
-				update = s.update(l, q, now)
+				u = s.update(l, q, now)
 			}
 			changed = s.changed
 			return nil
 		})
 		var notLeader *NotLeaderError
 		if errors.As(err, &notLeader) {
-			if update = s.provisionalUpdate(ctx, q); update != nil {
-				return update, nil
+			if n := s.provisionalUpdate(ctx, q); n != nil {
+				return n, nil
 			}
 		}
-		if err != nil || update != nil {
-			return update, toTwirpError(err)
+		if err != nil {
+			return nil, toTwirpError(err)
+		}
+		if u != nil {
+			return s.encodeUpdate(u), nil
 		}
 		select {
 		case <-ctx.Done():
@@ -87,25 +89,32 @@
 	if q.Catalog > 0 || q.Role == settings.RoleControl || time.Since(s.started) > provisionalPeriod {
 		return nil
 	}
-	var n *fleet.News
-	instances := 0
+	var public catalog.Public
+	var revision uint64
+	var instances []roster.Instance
 	err := s.do(ctx, func() {
-		if s.catalog.Public.Config == nil || s.replica.Node().Status().Leader != 0 {
-			return
-		}
-		n = &fleet.News{Catalog: s.catalog.Revision, State: encode(s.catalog.Public), Provisional: true, Entries: provisionalEntryHosts}
-		if instances = len(s.catalog.Instances); instances > 0 {
-			n.Roster, n.Instances = provisionalRosterRevision, encode(s.catalog.Instances)
+		if s.replica.Node().Status().Leader == 0 {
+			public, revision, instances = s.catalog.Public, s.catalog.Revision, s.catalog.Instances
 		}
 	})
 	if err != nil {
 		s.log.WithError(err).Warn("could not read the provisional state")
 		return nil
 	}
-	if n != nil {
-		s.log.WithFields(logrus.Fields{"to": q.Host.Name, "catalog": n.Catalog, "instances": instances}).
-			Info("sent the provisional state from disk")
+	if public.Config == nil {
+		return nil
+	}
+	n := &fleet.News{Catalog: revision, Provisional: true, Entries: provisionalEntryHosts, Compressed: q.Differences,
+		State: s.copies.get(copyKey{fullCatalog, q.Differences}, revision, public.Encode)}
+	if len(instances) > 0 {
+		n.Roster = provisionalRosterRevision
+		n.Instances = encode(instances)
+		if q.Differences {
+			n.Instances = compress(n.Instances)
+		}
 	}
+	s.log.WithFields(logrus.Fields{"to": q.Host.Name, "catalog": revision, "instances": len(instances)}).
+		Info("sent the provisional state from disk")
 	return n
 }
 
@@ -145,51 +154,6 @@
 	return l.waitedForAnnouncements(now) || s.feed.State().Roster > 0
 }
 
-func (s *Server) update(l *leadership, q *fleet.Report, now time.Time) *fleet.News {
-	start := time.Now()
-	n := &fleet.News{Term: l.term, Catalog: s.catalog.Revision, Lead: storeLeaderAddr(l, now),
-		Entries: uint32(len(l.liveHosts(settings.RoleEntry, now))), Rank: entryRank(l, q, now)}
-	if q.Catalog < s.catalog.Revision {
-		n.State = encode(s.catalog.Public)
-	}
-	if s.needsRoster(l, q, now) {
-		n.Roster, n.Instances = l.rosterRevision(q.Role), encode(l.instancesFor(q.Role))
-	}
-	if r := s.quarantineRevision(l, q.Role); q.Quarantine < r {
-		n.Quarantine, n.Cases = r, s.quarantine.Published(now)
-	}
-	if r := limitRevision(l, q.Role); q.Limits < r {
-		n.Limits, n.Limited = r, l.limits.Limits(now)
-	}
-	n.Stores = sortedHosts(l.liveHosts(settings.RoleStore, now))
-	if q.Role == settings.RoleEntry {
-		n.Stores = l.voters(n.Stores, now)
-	}
-	for _, m := range s.replica.Node().Status().Members {
-		n.Controls = append(n.Controls, m.Addr)
-	}
-	s.cfg.Scope.Timer("update_build").Record(time.Since(start))
-	s.cfg.Scope.Counter("update_bytes").Inc(int64(len(n.State) + len(n.Instances)))
-	return n
-}
-
-func sortedHosts(all []*host) []*fleet.Host {
-	var out []*fleet.Host
-	for _, h := range all {
-		out = append(out, h.Host)
-	}
-	slices.SortFunc(out, func(a, b *fleet.Host) int { return strings.Compare(a.Name, b.Name) })
-	return out
-}
-
-func encode(v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // cannot happen: plain structs always encode
-	}
-	return data
-}
-
 // fillReport fills in what this control process reports to the leader.
 func (s *Server) fillReport(q *fleet.Report) {
 	q.Host = &fleet.Host{Name: s.cfg.Site.Host, Zone: s.cfg.Site.Zone, Addr: s.cfg.Site.InternalAddr(), Disk: s.replica.Disk(),
@@ -256,10 +220,8 @@
 		if s.leadership == nil {
 			return
 		}
-		for _, h := range s.leadership.hosts {
-			if h.role == role {
-				f(h)
-			}
+		for _, h := range s.leadership.hosts[role] {
+			f(h)
 		}
 	})
 	if err != nil {
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/plantainbank/plantainbank/internal/process/catalog"
 	"github.com/plantainbank/plantainbank/internal/process/roster"
 	"github.com/plantainbank/plantainbank/internal/version/routing"
+	"github.com/plantainbank/plantainbank/pkg/process/deflate"
 	"github.com/plantainbank/plantainbank/service/fleet"
 )
 
@@ -114,6 +116,8 @@
 	cancelPoll context.CancelFunc
 	// disconnected is true from a failed call until the next answer of a control process.
 	disconnected bool
+	// fullCopy is true while the catalog at hand cannot be followed by differences.
+	fullCopy bool
 	// reportPending is true from a call of ReportNow until the end of the call that it
 	// cancels, whose failure is not counted against the control process.
 	reportPending bool
@@ -283,7 +287,11 @@
 	}
 	s := f.State()
 	q := &fleet.Report{Role: f.cfg.Role, Incarnation: f.cfg.Incarnation, Term: s.Term, Catalog: s.Catalog, Roster: s.Roster,
-		Quarantine: s.Quarantine, Limits: s.Limits, Waitms: uint32(wait / time.Millisecond), Host: &fleet.Host{Name: f.cfg.Host}}
+		Quarantine: s.Quarantine, Limits: s.Limits, Waitms: uint32(wait / time.Millisecond), Host: &fleet.Host{Name: f.cfg.Host},
+		Differences: true}
+	if f.fullCopy {
+		q.Catalog = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	f.mu.Lock()
@@ -313,22 +321,11 @@
 	if n.Lead != "" {
 		s.StoreLeader = n.Lead
 	}
-	if len(n.State) > 0 && n.Catalog > old.Catalog {
-		s.Public = catalog.Public{}
-		if err := json.Unmarshal(n.State, &s.Public); err != nil {
-			return err
-		}
-		s.Catalog = n.Catalog
-		if s.Public.Config != nil && (old.Table == nil || old.Table.Config.Version != s.Public.Config.Version) {
-			s.Table = routing.NewTable(s.Public.Config)
-		}
+	if err := f.applyCatalog(n, &s); err != nil {
+		return err
 	}
-	if len(n.Instances) > 0 && n.Roster > old.Roster {
-		s.Instances = nil
-		if err := json.Unmarshal(n.Instances, &s.Instances); err != nil {
-			return err
-		}
-		s.Roster = n.Roster
+	if err := applyRoster(n, &s); err != nil {
+		return err
 	}
 	if f.cfg.Quarantine != nil && n.Quarantine > old.Quarantine {
 		f.cfg.Quarantine(n.Cases)
@@ -349,6 +346,72 @@
 	return nil
 }
 
+// applyCatalog applies a full copy of the catalog, or differences that lead from the copy in s to the
+// leader's. If a difference does not apply, the host asks for a full copy.
+func (f *Feed) applyCatalog(n *fleet.News, s *State) error {
+	before := s.Public.Config
+	switch {
+	case len(n.State) > 0 && (n.Catalog > s.Catalog || f.fullCopy && n.Catalog == s.Catalog):
+		public, err := catalog.DecodePublic(n.State, n.Compressed)
+		if err != nil {
+			return err
+		}
+		s.Public, s.Catalog = public, n.Catalog
+		f.fullCopy = false
+	case len(n.Changes) > 0:
+		for _, data := range n.Changes {
+			if err := applyDifference(data, s); err != nil {
+				f.fullCopy = true
+				f.cfg.Log.WithError(err).WithField("catalog", s.Catalog).Warn("asking for a full copy of the catalog")
+				break
+			}
+		}
+	}
+	if c := s.Public.Config; c != nil && c != before && (s.Table == nil || s.Table.Config.Version != c.Version) {
+		s.Table = routing.NewTable(c)
+	}
+	return nil
+}
+
+func applyDifference(data []byte, s *State) error {
+	d, err := catalog.DecodeDifference(data)
+	if err != nil {
+		return err
+	}
+	public, err := d.Apply(s.Catalog, s.Public)
+	if err != nil {
+		return err
+	}
+	s.Public, s.Catalog = public, d.To
+	return nil
+}
+
+// maxRosterBytes bounds a roster once it is decompressed.
+const maxRosterBytes = 64 << 20
+
+// applyRoster applies a full copy of the roster, or the changes since the copy in s.
+func applyRoster(n *fleet.News, s *State) error {
+	if len(n.Instances) == 0 || n.Roster <= s.Roster {
+		return nil
+	}
+	data := n.Instances
+	if n.Compressed {
+		var err error
+		if data, err = deflate.Decompress(data, maxRosterBytes); err != nil {
+			return fmt.Errorf("cannot decompress the roster: %w", err)
+		}
+	}
+	var instances []roster.Instance
+	if err := json.Unmarshal(data, &instances); err != nil {
+		return fmt.Errorf("cannot decode the roster: %w", err)
+	}
+	if n.Partial {
+		instances = roster.Merge(s.Instances, instances, n.Removed)
+	}
+	s.Instances, s.Roster = instances, n.Roster
+	return nil
+}
+
 // logChanges logs changes of the catalog, the roster and the store leader. cost is what the update
 // cost this host.
 func (f *Feed) logChanges(old, s *State, cost logrus.Fields) {
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -31,12 +31,19 @@
 	lead   string
 	// hung processes accept calls and never answer.
 	hung bool
+	// answer overrides update; if it returns nil the call is held. It is called with mu held.
+	answer func(*fleet.Report) *fleet.News
 }
 
 func (c *fakeControl) Watch(ctx context.Context, q *fleet.Report) (*fleet.News, error) {
 	c.mu.Lock()
 	c.calls++
 	update, lead, hung := c.update, c.lead, c.hung
+	if c.answer != nil {
+		n := c.answer(q)
+		c.mu.Unlock()
+		return c.hold(ctx, q, n)
+	}
 	c.mu.Unlock()
 	switch {
 	case hung:
@@ -54,6 +61,18 @@
 	return update, nil
 }
 
+// hold returns an answer, after a short wait if there is none.
+func (c *fakeControl) hold(ctx context.Context, q *fleet.Report, n *fleet.News) (*fleet.News, error) {
+	if n == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(min(20, time.Duration(q.Waitms)) * time.Millisecond):
+		}
+		n = &fleet.News{Term: 1, Catalog: q.Catalog}
+	}
+	return n, nil
+}
+
 func (c *fakeControl) set(f func(*fakeControl)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -250,3 +269,89 @@
 		}
 	})
 }
+
+// TestMismatchIsFollowedByAFullCopy guards against a host that keeps an old catalog for good because
+// the differences it gets do not apply to it.
+func TestMismatchIsFollowedByAFullCopy(t *testing.T) {
+	c := catalog.New()
+	for version := range uint64(4) {
+		x := &catalog.Command{Config: &catalog.ConfigChange{Config: &routing.Config{Version: version + 1}}}
+		if _, err := c.Apply(version+1, x.Encode()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	changes, _ := c.Since(2)
+	control, addr := startControl(t)
+	control.set(func(x *fakeControl) {
+		x.update = newUpdate(1, 1)
+		x.answer = func(q *fleet.Report) *fleet.News {
+			if q.Catalog == 0 {
+				return &fleet.News{Term: 1, Catalog: 1, State: newUpdate(1, 1).State}
+			}
+			return nil
+		}
+	})
+	f := startFeed(t, addr)
+	waitFor(t, "the first copy", func() bool { return f.State().Catalog == 1 })
+	control.set(func(x *fakeControl) {
+		x.answer = func(q *fleet.Report) *fleet.News {
+			switch q.Catalog {
+			case 0:
+				return &fleet.News{Term: 1, Catalog: 4, State: c.Public.Encode()}
+			case 1:
+				return &fleet.News{Term: 1, Catalog: 4, Compressed: true, Changes: changes}
+			}
+			return nil
+		}
+	})
+	waitFor(t, "the full copy", func() bool { return f.State().Catalog == 4 && f.State().Table.Config.Version == 4 })
+}
+
+// TestDifferencesAreApplied follows a leader that sends only what has changed.
+func TestDifferencesAreApplied(t *testing.T) {
+	c := catalog.New()
+	put := func(version uint64) {
+		x := &catalog.Command{Config: &catalog.ConfigChange{Config: &routing.Config{Version: version,
+			Routes: []routing.Route{{Name: "r", Prefix: "/"}, {Name: "s", Prefix: "/s/"}}[:version%2+1]}}}
+		if _, err := c.Apply(version, x.Encode()); err != nil {
+			t.Error(err)
+		}
+	}
+	put(1)
+	control, addr := startControl(t)
+	var full, partial int
+	control.set(func(x *fakeControl) {
+		x.answer = func(q *fleet.Report) *fleet.News {
+			n := &fleet.News{Term: 1, Catalog: c.Revision, Roster: 7}
+			changes, known := c.Since(q.Catalog)
+			switch {
+			case q.Catalog == c.Revision:
+				return nil
+			case known:
+				partial++
+				n.Compressed, n.Changes = true, changes
+			default:
+				full++
+				n.State = c.Public.Encode()
+			}
+			return n
+		}
+	})
+	f := startFeed(t, addr)
+	for version := uint64(1); version <= 6; version++ {
+		control.set(func(*fakeControl) {
+			if version > 1 {
+				put(version)
+			}
+		})
+		waitFor(t, "a version", func() bool {
+			s := f.State()
+			return s.Catalog == version && s.Table.Config.Version == version && len(s.Table.Config.Routes) == int(version%2)+1
+		})
+	}
+	control.set(func(*fakeControl) {
+		if full != 1 || partial != 5 {
+			t.Errorf("%d full copies and %d differences, want 1 and 5", full, partial)
+		}
+	})
+}
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -68,22 +68,32 @@
 
 func coldUnchanged(a, b int64) bool { return a-b < coldTolerance && b-a < coldTolerance }
 
+// maxRemoved bounds the removed instances that Since knows of.
+const maxRemoved = 4096
+
 // Table holds the current entry of each instance. It is not safe for concurrent use.
 type Table struct {
 	// Revision increases with every change that hosts must receive. RoutingRevision is
 	// the revision of the latest change that affects more than weights.
 	Revision, RoutingRevision uint64
 	all                       map[string]*entry
+	// floor is the lowest revision from which Since knows all changes.
+	floor uint64
+	// removed holds the removed instances and the first revision without them.
+	removed map[string]uint64
 }
 
 type entry struct {
 	Instance
 	lastContact time.Time
+	// changed and routed are the revisions of the latest change, and of the latest one that
+	// affects more than weights.
+	changed, routed uint64
 }
 
 // New returns an empty table whose revisions start above base.
 func New(base uint64) *Table {
-	return &Table{Revision: base, RoutingRevision: base, all: map[string]*entry{}}
+	return &Table{Revision: base, RoutingRevision: base, floor: base, all: map[string]*entry{}, removed: map[string]uint64{}}
 }
 
 // Announce applies an announcement and reports whether it was newer than the current
@@ -94,22 +104,47 @@
 		return false
 	}
 	t.displace(x, now)
+	e := &entry{Instance: x, lastContact: now}
+	if current != nil {
+		e.changed, e.routed = current.changed, current.routed
+	}
+	t.all[x.ID] = e
 	switch {
 	case current == nil || !sameForRouting(&current.Instance, &x):
-		t.bumpRevisions()
+		t.revise(e)
 	case !maps.Equal(current.Weights, x.Weights):
 		t.Revision++
+		e.changed = t.Revision
 	}
-	t.all[x.ID] = &entry{x, now}
 	return true
 }
 
+// revise counts a change of an entry that all hosts must receive.
+func (t *Table) revise(e *entry) {
+	t.bumpRevisions()
+	e.changed, e.routed = t.Revision, t.Revision
+	delete(t.removed, e.ID)
+}
+
 // bumpRevisions counts a change that all hosts must receive.
 func (t *Table) bumpRevisions() {
 	t.Revision++
 	t.RoutingRevision = t.Revision
 }
 
+// remove drops an entry. Hosts learn of it with the next change if it is not one by itself.
+func (t *Table) remove(e *entry) {
+	delete(t.all, e.ID)
+	t.removed[e.ID] = t.Revision + 1
+	if e.State != Gone {
+		t.bumpRevisions()
+	}
+	if len(t.removed) > maxRemoved {
+		t.floor = t.Revision + 1
+		clear(t.removed)
+	}
+}
+
 // newer reports whether announcement x supersedes the current entry of the same ID.
 func newer(x, current *Instance) bool {
 	if x.Born != current.Born {
@@ -129,7 +164,7 @@
 	for id, e := range t.all {
 		if id != x.ID && e.Addr == x.Addr && e.State != Gone && e.Born < x.Born {
 			e.State, e.lastContact = Gone, now
-			t.bumpRevisions()
+			t.revise(e)
 		}
 	}
 }
@@ -139,32 +174,74 @@
 func (t *Table) Depart(id string, born int64, now time.Time) {
 	current := t.all[id]
 	if current == nil {
-		t.all[id] = &entry{Instance{ID: id, Born: born, State: Gone}, now}
+		t.all[id] = &entry{Instance: Instance{ID: id, Born: born, State: Gone}, lastContact: now}
 		return
 	}
 	if current.State == Gone || born != 0 && born < current.Born {
 		return
 	}
 	current.State, current.lastContact = Gone, now
-	t.bumpRevisions()
+	t.revise(current)
 }
 
 // Expire removes the instances that have sent no announcement within silenceTimeout, and
 // departed ones after goneRetention.
 func (t *Table) Expire(now time.Time) {
-	for id, e := range t.all {
+	for _, e := range t.all {
 		limit := silenceTimeout
 		if e.State == Gone {
 			limit = goneRetention
 		}
-		if now.Sub(e.lastContact) <= limit {
+		if now.Sub(e.lastContact) > limit {
+			t.remove(e)
+		}
+	}
+}
+
+// Since returns the instances that have changed since a revision, and the IDs of those that were
+// removed since then, both sorted by ID. With routing, changes that affect only weights are left
+// out, and so are the weights. It returns false if the changes since that revision are not known.
+func (t *Table) Since(revision uint64, routing bool) (changed []Instance, removed []string, ok bool) {
+	if revision < t.floor || revision > t.Revision {
+		return nil, nil, false
+	}
+	for _, e := range t.all {
+		switch {
+		case routing && e.routed > revision:
+			x := e.Instance
+			x.Weights = nil
+			changed = append(changed, x)
+		case !routing && e.changed > revision:
+			changed = append(changed, e.Instance)
+		}
+	}
+	for id, at := range t.removed {
+		if at > revision {
+			removed = append(removed, id)
+		}
+	}
+	slices.SortFunc(changed, byID)
+	slices.Sort(removed)
+	return changed, removed, true
+}
+
+func byID(a, b Instance) int { return strings.Compare(a.ID, b.ID) }
+
+// Merge returns the instances of a roster with the result of Since applied. All lists are sorted
+// by ID; the former roster is not modified.
+func Merge(all, changed []Instance, removed []string) []Instance {
+	out := make([]Instance, 0, len(all)+len(changed))
+	for _, x := range all {
+		if _, found := slices.BinarySearchFunc(changed, x, byID); found {
 			continue
 		}
-		delete(t.all, id)
-		if e.State != Gone {
-			t.bumpRevisions()
+		if _, found := slices.BinarySearch(removed, x.ID); !found {
+			out = append(out, x)
 		}
 	}
+	out = append(out, changed...)
+	slices.SortFunc(out, byID)
+	return out
 }
 
 // AllWithoutWeights returns all instances without their weights, including departed
@@ -201,7 +278,7 @@
 	for _, e := range t.all {
 		out = append(out, e.Instance)
 	}
-	slices.SortFunc(out, func(a, b Instance) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, byID)
 	return out
 }
 
@@ -210,8 +287,9 @@
 func (t *Table) Load(all []Instance, now time.Time) {
 	for _, x := range all {
 		if current := t.all[x.ID]; current == nil || newer(&x, &current.Instance) {
-			t.all[x.ID] = &entry{x, now}
-			t.bumpRevisions()
+			e := &entry{Instance: x, lastContact: now}
+			t.all[x.ID] = e
+			t.revise(e)
 		}
 	}
 }
@@ -239,6 +317,6 @@
 			out = append(out, e.Instance)
 		}
 	}
-	slices.SortFunc(out, func(a, b Instance) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, byID)
 	return out
 }
--- a/internal/process/store/score.go
+++ b/internal/process/store/score.go
@@ -15,6 +15,7 @@
 	"github.com/plantainbank/plantainbank/internal/request/itemqueue"
 	"github.com/plantainbank/plantainbank/internal/request/scorequeue"
 	"github.com/plantainbank/plantainbank/internal/version/routing"
+	"github.com/plantainbank/plantainbank/pkg/process/deflate"
 )
 
 // scoreTryTimeout bounds the first call of a scorer, and maxScoreTimeout the later ones, each of
@@ -66,7 +67,7 @@
 // storeText writes the complete text of an item to the log and reports whether it is stored.
 func (d *driver) storeText(ctx context.Context, k itemqueue.Key, w *pendingItem) bool {
 	p := &w.progress
-	chunk, err := batch.Compress(p.Text())
+	chunk, err := deflate.Compress(p.Text())
 	if err == nil {
 		ctx, cancel := context.WithTimeout(ctx, checkpointTimeout)
 		defer cancel()
--- a/internal/request/batch/compress.go
+++ b/internal/request/batch/compress.go
@@ -1,49 +1,22 @@
 package batch
 
 import (
-	"bytes"
-	"compress/flate"
 	"fmt"
-	"io"
-	"strings"
-	"sync"
-)
-
-// flateWriters pools compressors, since each takes about 1 MB.
-var flateWriters sync.Pool
+	"math"
 
-// Compress returns a text in compressed form (DEFLATE, RFC 1951). Texts make up most of
-// the data in the log, on disk and in memory. The fast level costs the leader about 10 ms
-// per megabyte.
-func Compress(text string) ([]byte, error) {
-	var out bytes.Buffer
-	w, ok := flateWriters.Get().(*flate.Writer)
-	if !ok {
-		var err error
-		if w, err = flate.NewWriter(&out, flate.BestSpeed); err != nil {
-			return nil, err
-		}
-	}
-	defer flateWriters.Put(w)
-	w.Reset(&out)
-	if _, err := io.WriteString(w, text); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return bytes.Clone(out.Bytes()), nil
-}
+	"github.com/plantainbank/plantainbank/pkg/process/deflate"
+)
 
+// decompress returns a text that was compressed. Texts make up most of the data in the log, on
+// disk and in memory.
 func decompress(data []byte) (string, error) {
-	var out strings.Builder
-	_, err := io.Copy(&out, flate.NewReader(bytes.NewReader(data)))
-	return out.String(), err
+	text, err := deflate.Decompress(data, math.MaxInt-1)
+	return string(text), err
 }
 
 // Compress replaces the text by its compressed form if that is shorter.
 func (r *Result) Compress() error {
-	packed, err := Compress(r.Text)
+	packed, err := deflate.Compress(r.Text)
 	if err == nil && len(packed) < len(r.Text) {
 		r.Compressed, r.Text = packed, ""
 	}
--- a/internal/request/batch/partial.go
+++ b/internal/request/batch/partial.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/plantainbank/plantainbank/pkg/process/deflate"
 	"github.com/plantainbank/plantainbank/service/batchlog"
 )
 
@@ -134,7 +135,7 @@
 	packed := r.Compressed
 	if packed == nil {
 		var err error
-		if packed, err = Compress(r.Text); err != nil {
+		if packed, err = deflate.Compress(r.Text); err != nil {
 			return nil
 		}
 	}
--- a/internal/request/batch/partial_test.go
+++ b/internal/request/batch/partial_test.go
@@ -3,12 +3,14 @@
 import (
 	"slices"
 	"testing"
+
+	"github.com/plantainbank/plantainbank/pkg/process/deflate"
 )
 
 // applyCheckpoint applies a checkpoint that extends an item from one event to another.
 func applyCheckpoint(t *testing.T, s *Store, id, item string, from, to int, text string, versions ...uint64) {
 	t.Helper()
-	chunk, err := Compress(text)
+	chunk, err := deflate.Compress(text)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/request/batch/score_test.go
+++ b/internal/request/batch/score_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/plantainbank/plantainbank/pkg/process/deflate"
 )
 
 func scoredBatch(id string, scorer *Scorer) *Batch {
@@ -14,7 +16,7 @@
 
 func wholeText(t *testing.T, text string) *Checkpoint {
 	t.Helper()
-	chunk, err := Compress(text)
+	chunk, err := deflate.Compress(text)
 	if err != nil {
 		t.Fatal(err)
 	}
