Give the control process of a test a platform to report usage to

TestChangeIsNotSentAsWholeCopies and those beside it panicked in one of four runs, when the end of a usage window fell into the test: the leader reports the window, and the test had set no call for that.

--- a/internal/process/director/update_test.go
+++ b/internal/process/director/update_test.go
@@ -58,7 +58,8 @@
 	log.Logger.SetOutput(t.Output())
 	log.Logger.SetLevel(logrus.WarnLevel)
 	s, err := New(Config{Site: site, Log: log, Scope: tally.NoopScope, Files: disk.RealFiles(), Timing: quorum.FastFailoverTiming(),
-		Client: &http.Client{}})
+		Client: &http.Client{}, External: ExternalCalls{
+			ReportUsage: func(context.Context, FencingToken, uint64, map[string]uint64) error { return nil }}})
 	if err != nil {
 		t.Fatal(err)
 	}
