Send requests through another entry host while all links to the servers are lost

Callers of entry hosts that were partitioned from all backend servers got 503 or 504 after 0.5 to 2 s, while those of other hosts were served: the host took the cut for failures of the servers, one by one, and the only way to a server was a link of its own.

A host now learns within 1 to 2 s that no server of any service can be reached, from its attempts or by opening connections, and tells that from servers or a service that are down. It then passes its callers' requests to an entry host that control names, once at most: that host authenticates, limits, counts and places them with a configuration that is not older, bounded and fairly among workspaces. Streams go on the same way. Without such a host requests are refused at once. Failures of the cut are forgiven to the servers, and links that are back are used within a second.

--- a/internal/connection/placement/table.go
+++ b/internal/connection/placement/table.go
@@ -456,6 +456,19 @@
 	s.cooldownUntil = now.Add(min(cooldown, maxCooldown))
 }
 
+// Forgive ends the cooldowns of servers that have failed since a time. It is for failures of this
+// host's links, which say nothing about the servers.
+func (t *Table) Forgive(since time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.servers {
+		s.interrupted = 0
+		if !s.coldSince.IsZero() && !s.coldSince.Before(since) {
+			s.failures, s.probing, s.cooldownUntil, s.coldSince = 0, false, time.Time{}, time.Time{}
+		}
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/process/director/leadership.go
+++ b/internal/process/director/leadership.go
@@ -41,6 +41,8 @@
 	// ranks holds the result of entryRanks, ranksAt is when it was computed.
 	ranks   map[string]uint32
 	ranksAt time.Time
+	// linked holds the live entry hosts that other ones may send requests through, as of ranksAt.
+	linked []*fleet.Host
 	// copied holds the result of instancesFor, by role.
 	copied  map[string]rosterCopy
 	planner *weights.Planner
@@ -85,7 +87,9 @@
 	incarnation uint64
 	lastReport  time.Time
 	leaving     bool
-	replica     *fleet.Replica
+	// unlinked is true while an entry host has lost its links to the backend servers.
+	unlinked bool
+	replica  *fleet.Replica
 	// usage holds the latest counts of this incarnation, by window.
 	usage map[uint64]map[string]uint64
 }
@@ -127,7 +131,10 @@
 	if now.Sub(h.lastReport) >= hostTimeout {
 		l.ranks = nil // the host was not live
 	}
-	h.Host, h.lastReport, h.leaving, h.replica = q.Host, now, q.Leaving, q.Replica
+	if h.leaving != q.Leaving || h.unlinked != q.Unlinked {
+		l.ranks = nil // relays may have changed
+	}
+	h.Host, h.lastReport, h.leaving, h.unlinked, h.replica = q.Host, now, q.Leaving, q.Unlinked, q.Replica
 	for _, w := range q.Usage {
 		h.usage[w.Number] = w.Counts
 	}
@@ -155,13 +162,32 @@
 		return l.ranks
 	}
 	sorted := sortedHosts(l.liveHosts(settings.RoleEntry, now))
-	l.ranks, l.ranksAt = make(map[string]uint32, len(sorted)), now
-	for i, h := range sorted {
-		l.ranks[h.Name] = uint32(i + 1)
+	l.ranks, l.ranksAt, l.linked = make(map[string]uint32, len(sorted)), now, nil
+	for i, x := range sorted {
+		l.ranks[x.Name] = uint32(i + 1)
+		if h := l.hosts[settings.RoleEntry][x.Name]; !h.leaving && !h.unlinked {
+			l.linked = append(l.linked, x)
+		}
 	}
 	return l.ranks
 }
 
+// maxRelays is the number of relays that an entry host knows of.
+const maxRelays = 4
+
+// relaysFor returns the entry hosts through which a host may send requests while it has lost its own
+// links. Hosts get different ones, so that the load is spread.
+func (l *leadership) relaysFor(name string, now time.Time) []*fleet.Host {
+	rank, n := int(l.entryRanks(now)[name]), len(l.linked)
+	var out []*fleet.Host
+	for i := 0; i < n && len(out) < maxRelays; i++ {
+		if h := l.linked[(rank*maxRelays+i)%n]; h.Name != name {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // storeLeader returns the leader of the store group according to the store hosts'
 // reports.
 func (l *leadership) storeLeader(now time.Time) *host {
--- a/internal/process/director/update.go
+++ b/internal/process/director/update.go
@@ -34,7 +34,9 @@
 	entries := l.entryRanks(now)
 	n := &fleet.News{Term: l.term, Catalog: s.catalog.Revision, Lead: storeLeaderAddr(l, now), Entries: uint32(len(entries)),
 		Rank: entries[q.Host.Name], Compressed: q.Differences}
-	if q.Role != settings.RoleEntry {
+	if q.Role == settings.RoleEntry {
+		n.Relays = l.relaysFor(q.Host.Name, now)
+	} else {
 		n.Rank = 0
 	}
 	u := &update{news: n, compressed: q.Differences}
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -43,17 +43,17 @@
 	}
 	timer := time.NewTimer(time.Duration(q.Waitms) * time.Millisecond)
 	defer timer.Stop()
-	recorded, lead := false, ""
+	recorded, relinked, lead := false, false, ""
 	for last := q.Waitms == 0; ; {
 		var u *update
 		var changed chan struct{}
 		err := s.onLeader(ctx, func(l *leadership) error {
 			now := time.Now()
 			if !recorded {
-				s.handleReport(l, q, now)
+				relinked = s.handleReport(l, q, now)
 				recorded, lead = true, storeLeaderAddr(l, now)
 			}
-			if last || s.hasUpdate(l, q, now) || storeLeaderAddr(l, now) != lead {
+			if last || relinked || s.hasUpdate(l, q, now) || storeLeaderAddr(l, now) != lead {
 				u = s.update(l, q, now)
 			}
 			changed = s.changed
@@ -119,9 +119,14 @@
 }
 
 // handleReport records a report and wakes all waiting calls if the leader of the store
-// group or a quarantine has changed.
-func (s *Server) handleReport(l *leadership, q *fleet.Report, now time.Time) {
+// group or a quarantine has changed. It reports whether the host has lost its links to the backend
+// servers, or has them back, since its last report.
+func (s *Server) handleReport(l *leadership, q *fleet.Report, now time.Time) (relinked bool) {
 	before := storeLeaderAddr(l, now)
+	if h := l.hosts[q.Role][q.Host.Name]; q.Unlinked != (h != nil && h.unlinked) {
+		relinked = true
+		s.log.WithFields(logrus.Fields{"entry": q.Host.Name, "unlinked": q.Unlinked}).Info("links of a host changed")
+	}
 	l.recordReport(q, now)
 	s.followChanges(l, q, now)
 	s.mergeCases(q.Host.Name, q.Cases, now)
@@ -129,6 +134,7 @@
 	if storeLeaderAddr(l, now) != before {
 		s.notify()
 	}
+	return relinked
 }
 
 func storeLeaderAddr(l *leadership, now time.Time) string {
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -67,6 +67,8 @@
 	StoreLeader string
 	// EntryHosts is the number of live entry hosts.
 	EntryHosts int
+	// Relays are entry hosts with links to backend servers.
+	Relays []*fleet.Host
 	// Rank is the position of this host among the live entry hosts, from 1; 0 if it is none.
 	Rank int
 	// Quarantine is the revision of the quarantined requests, Limits that of the servers' rate
@@ -325,6 +327,7 @@
 	s := *old
 	s.Term, s.Stores, s.EntryHosts = n.Term, n.Stores, int(n.Entries)
 	s.Rank = int(n.Rank)
+	s.Relays = n.Relays
 	if !n.Provisional {
 		s.LastContact = time.Now()
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/plantainbank/plantainbank/internal/connection/departure"
 	"github.com/plantainbank/plantainbank/internal/connection/httpheader"
+	"github.com/plantainbank/plantainbank/internal/connection/links"
 	"github.com/plantainbank/plantainbank/internal/connection/placement"
 	"github.com/plantainbank/plantainbank/internal/connection/ratelimit"
 	"github.com/plantainbank/plantainbank/internal/process/feed"
@@ -44,6 +45,8 @@
 	Scope   tally.Scope
 	Client  *http.Client
 	Servers *attempt.Client
+	// Relays calls other entry hosts.
+	Relays  *attempt.Client
 	Headers httpheader.Names
 }
 
@@ -55,6 +58,12 @@
 	table     *placement.Table
 	forwarder *forward.Forwarder
 	usage     *usage
+	// links knows whether this host has lost its links to all servers. gate admits the requests of
+	// hosts that have.
+	links *links.Monitor
+	gate  *links.Gate
+	// relayTurn counts the calls of relayHosts.
+	relayTurn atomic.Uint32
 	// quarantine holds the requests under which servers ended.
 	quarantine *quarantine.Table
 	// unreported is true while the next report will have a change of the quarantine.
@@ -77,12 +86,13 @@
 // New returns an entry process that is not running yet.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, log: cfg.Log, table: placement.NewTable(), usage: newUsage(cfg.Site.Bounds.Window.Duration()),
-		quarantine: quarantine.NewTable(maxQuarantineRecords), origins: origin.NewTable(maxStreamRecords), stateKnown: make(chan struct{})}
+		quarantine: quarantine.NewTable(maxQuarantineRecords), origins: origin.NewTable(maxStreamRecords), stateKnown: make(chan struct{}), gate: links.NewGate()}
 	s.table.Zone = cfg.Site.Zone
 	s.table.Connected = cfg.Servers.Idle
 	guard := quarantine.NewGuard(quarantine.GuardConfig{Table: s.quarantine, Log: cfg.Log, Scope: cfg.Scope,
 		Contact: s.hasContact, ReportNow: s.reportQuarantine})
-	s.forwarder = forward.New(forward.Config{Table: s.table, Client: cfg.Servers, Headers: cfg.Headers, Log: cfg.Log,
+	s.links = links.New(links.Config{Servers: s.backendServers, Dial: cfg.Servers.Dial, Changed: s.linksChanged, Log: cfg.Log, Scope: cfg.Scope})
+	s.forwarder = forward.New(forward.Config{Links: s.links, Relays: forward.Relays{Client: cfg.Relays, Hosts: s.relayHosts}, Table: s.table, Client: cfg.Servers, Headers: cfg.Headers, Log: cfg.Log,
 		Scope: cfg.Scope, Guard: guard, Limits: ratelimit.NewReader(ratelimit.ReaderConfig{Book: s.table.Limits,
 			Header: cfg.Headers.RateLimit, Log: cfg.Log, Scope: cfg.Scope}),
 		Departures: departure.NewReader(departure.ReaderConfig{Set: s.table.Departures, Header: cfg.Headers.Leaving,
@@ -106,6 +116,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { s.feed.Run(ctx); return nil })
 	g.Go(func() error { s.closeIdle(ctx); return nil })
+	g.Go(func() error { s.links.Run(ctx); return nil })
 	g.Go(func() error { s.ends.run(ctx); return nil })
 	g.Go(func() error { s.permits.Run(ctx); return nil })
 	g.Go(func() error { s.originClient.Run(ctx); return nil })
@@ -121,6 +132,7 @@
 			return
 		case <-tick.C:
 			s.cfg.Servers.CloseIdle()
+			s.cfg.Relays.CloseIdle()
 		}
 	}
 }
@@ -175,7 +187,7 @@
 
 func (s *Server) fillReport(q *fleet.Report) {
 	q.Host = &fleet.Host{Name: s.cfg.Site.Host, Zone: s.cfg.Site.Zone, Addr: s.cfg.Site.InternalAddr()}
-	q.Leaving = s.leaving.Load()
+	q.Leaving, q.Unlinked = s.leaving.Load(), s.links.Lost()
 	q.Usage = s.usage.report()
 	s.unreported.Store(false)
 	now := time.Now()
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -16,6 +16,7 @@
 
 	"github.com/plantainbank/plantainbank/internal/connection/departure"
 	"github.com/plantainbank/plantainbank/internal/connection/httpheader"
+	"github.com/plantainbank/plantainbank/internal/connection/links"
 	"github.com/plantainbank/plantainbank/internal/connection/placement"
 	"github.com/plantainbank/plantainbank/internal/connection/ratelimit"
 	"github.com/plantainbank/plantainbank/internal/request/quarantine"
@@ -61,6 +62,10 @@
 	Limits *ratelimit.Reader
 	// Departures reads from responses which servers leave; nil ignores it.
 	Departures *departure.Reader
+	// Links knows whether this host has lost its links to all servers; nil takes them for good.
+	Links *links.Monitor
+	// Relays are the hosts that requests are sent through meanwhile.
+	Relays Relays
 	// OnStream is called with the first event of a stream that begins; it may be nil.
 	OnStream func(r *Request, service, software string)
 	// OnStart is called once for each request that may have been executed.
@@ -96,6 +101,8 @@
 	// AttemptTimeout bounds every attempt. If it is zero, attemptTimeout bounds the
 	// attempts of an idempotent request but the last one.
 	AttemptTimeout time.Duration
+	// Relayed is true if the request came from another entry host, which has lost its links.
+	Relayed bool
 	// Avoid lists the servers at which the request has failed; failed attempts add to it.
 	// It may be nil.
 	Avoid map[string]bool
@@ -175,8 +182,10 @@
 // Do forwards a request and returns the response to it.
 func (f *Forwarder) Do(ctx context.Context, r *Request) *Response {
 	s := newRequestState(r)
-	if s.admission = f.cfg.Guard.Admit(s.subject()); s.admission.Verdict == quarantine.Refuse {
-		return quarantinedResponse(s)
+	if !f.unlinked(s) { // otherwise the host that the request is sent through decides
+		if s.admission = f.cfg.Guard.Admit(s.subject()); s.admission.Verdict == quarantine.Refuse {
+			return quarantinedResponse(s)
+		}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := watchDisconnect(r.Disconnected, cancel)
@@ -223,7 +232,13 @@
 
 func (f *Forwarder) do(ctx context.Context, s *requestState) *Response {
 	for {
+		if f.unlinked(s) {
+			return f.relay(ctx, s)
+		}
 		slot, ok := f.takeSlot(ctx, s)
+		if !ok && f.unlinked(s) {
+			continue
+		}
 		if !ok {
 			return f.failureResponse(ctx, s)
 		}
@@ -256,7 +271,7 @@
 		if s.limit.Limited && now.Add(s.limit.Wait).After(until) {
 			return placement.Slot{}, false
 		}
-		if !f.cfg.Table.Serves(req) || req.IgnoreCooldown || ctx.Err() != nil {
+		if !f.cfg.Table.Serves(req) || req.IgnoreCooldown || ctx.Err() != nil || f.unlinked(s) {
 			return placement.Slot{}, false
 		}
 		if now.After(until) {
@@ -297,9 +312,13 @@
 	now := time.Now()
 	if err != nil {
 		cancel()
+		if ctx.Err() == nil {
+			f.cfg.Links.Failed(slot.ID)
+		}
 		f.attemptFailed(ctx, s, slot, err, now)
 		return nil, false
 	}
+	f.cfg.Links.Responded()
 	if err := f.checkResponse(s, got); err != nil {
 		got.Close(false)
 		cancel()
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -35,6 +35,9 @@
 	endRequest func()
 	lastID     []byte
 	events     int
+	// relayed is true if the events come through another entry host, which does all that belongs to
+	// the server.
+	relayed bool
 	// begins is true if the stream starts at its beginning, false if the caller takes it up.
 	begins bool
 }
@@ -66,13 +69,19 @@
 
 // copyFromServer forwards the events of the current server.
 func (x *Stream) copyFromServer(w *bufio.Writer) error {
-	x.response.Expect(maxEventBytes, gapTimeout)
+	gap := gapTimeout
+	if x.relayed {
+		gap = relayGapTimeout
+	}
+	x.response.Expect(maxEventBytes, gap)
 	br := bufio.NewReader(x.response.Body)
 	for {
 		event, id, err := readEvent(br)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			x.endAttempt(placement.Served)
-			x.f.cfg.Guard.Served(x.s.subject())
+			if !x.relayed {
+				x.f.cfg.Guard.Served(x.s.subject())
+			}
 			return nil
 		}
 		if err != nil {
@@ -86,8 +95,8 @@
 			}
 			return err
 		}
-		x.response.Expect(maxEventBytes, gapTimeout)
-		if x.events == 0 && x.begins && x.f.cfg.OnStream != nil {
+		x.response.Expect(maxEventBytes, gap)
+		if x.events == 0 && x.begins && !x.relayed && x.f.cfg.OnStream != nil {
 			x.f.cfg.OnStream(x.s.Request, x.slot.Service, x.slot.Software)
 		}
 		if _, err := w.Write(event); err != nil {
@@ -106,19 +115,20 @@
 }
 
 func (x *Stream) closedByServer(err error) bool {
-	return x.ctx.Err() == nil && attempt.ClosedByServer(err)
+	return x.ctx.Err() == nil && !x.relayed && attempt.ClosedByServer(err)
 }
 
 func (x *Stream) endAttempt(o placement.Outcome) {
 	x.response.Close(o == placement.Served)
 	x.cancel()
-	now := time.Now()
-	x.f.cfg.Table.Done(x.slot, o, 0, now)
+	if !x.relayed {
+		x.f.cfg.Table.Done(x.slot, o, 0, time.Now())
+	}
 }
 
 // resume reopens the stream at another server after the last complete event.
 func (x *Stream) resume(cause error) bool {
-	if errors.Is(cause, ErrDisconnected) || !x.s.Route.Resumable {
+	if errors.Is(cause, ErrDisconnected) || !x.s.Route.Resumable || x.relayed {
 		return false
 	}
 	x.s.avoid[x.slot.ID] = true
@@ -130,7 +140,13 @@
 		x.s.Raw.Header.SetBytesV(x.f.cfg.Headers.LastEventID, x.lastID)
 	}
 	for x.f.mayRetry(x.ctx, x.s) {
+		if x.f.unlinked(x.s) {
+			return x.resumeRelayed()
+		}
 		slot, ok := x.f.takeSlot(x.ctx, x.s)
+		if !ok && x.f.unlinked(x.s) {
+			continue
+		}
 		if !ok {
 			return false
 		}
@@ -149,6 +165,24 @@
 	return false
 }
 
+// resumeRelayed goes on with the stream through another host, which asks control where the stream has
+// begun.
+func (x *Stream) resumeRelayed() bool {
+	if name := x.f.cfg.Headers.Resumes; x.events > 0 && x.begins {
+		if name == "" {
+			return false
+		}
+		x.s.Raw.Header.Set(name, x.s.ID)
+	}
+	a := x.f.relay(x.ctx, x.s)
+	if a.Stream == nil {
+		return false
+	}
+	x.f.cfg.Log.WithFields(logrus.Fields{"request": x.s.ID, "before": x.slot.ID, "events": x.events}).Info("stream goes on through another host")
+	x.response, x.cancel, x.relayed = a.Stream.response, a.Stream.cancel, true
+	return true
+}
+
 // readEvent returns the bytes of one complete event and its ID. At the end of the stream it
 // returns io.EOF and no bytes.
 func readEvent(br *bufio.Reader) (event, id []byte, err error) {
--- a/pkg/request/attempt/attempt.go
+++ b/pkg/request/attempt/attempt.go
@@ -212,6 +212,18 @@
 	return len(c.idle[addr]) > 0
 }
 
+// DropIdle closes all idle connections.
+func (c *Client) DropIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, all := range c.idle {
+		for _, x := range all {
+			x.Close()
+		}
+	}
+	clear(c.idle)
+}
+
 // CloseIdle closes the connections that have been idle for too long.
 func (c *Client) CloseIdle() {
 	c.mu.Lock()
