Remember software versions whose servers are gone

A caller whose stream broke off when its entry host was killed could be answered 200 with the rest of the text from another software version. Without a record of the stream the control leader answers with the only version that its roster holds. The roster forgot a version at once when a server restarted under its ID with another one, after 40 s of silence, and at a new leader, so that the only version it held was not the one that had begun the stream.

Versions are now remembered for two minutes after an instance of them was last heard of, apart from the instances, and saved with the roster for the next leader. The leader names a version without a record only if no other was in service in that time.

--- a/internal/process/catalog/catalog.go
+++ b/internal/process/catalog/catalog.go
@@ -36,6 +36,9 @@
 	// Instances are the backend servers that a leader last stored, so that requests find
 	// servers right after a restart of all processes.
 	Instances []roster.Instance `json:"instances,omitempty"`
+	// Software are the software versions that services had when Instances was stored, or lately
+	// before.
+	Software []roster.Software `json:"software,omitempty"`
 	// differences are not saved: every process that applies the same commands has them.
 	differences differences
 }
@@ -69,7 +72,7 @@
 }
 
 // Command is one change. Exactly one field is set, except that PreviousVoters accompanies
-// InitialVoters.
+// InitialVoters, and Software Instances.
 type Command struct {
 	Config        *ConfigChange  `json:"config,omitempty"`
 	Zone          *ZoneChange    `json:"zone,omitempty"`
@@ -85,8 +88,9 @@
 	Close        *WindowClose `json:"close,omitempty"`
 	// ReportedWindow is the number of a window that was reported.
 	ReportedWindow uint64 `json:"sent,omitempty"`
-	// Instances is the roster to store for the next leader.
+	// Instances is the roster to store for the next leader, Software what accompanies it.
 	Instances []roster.Instance `json:"instances,omitempty"`
+	Software  []roster.Software `json:"software,omitempty"`
 }
 
 // ConfigChange submits a configuration.
@@ -175,7 +179,7 @@
 	case x.Close != nil:
 		c.closeWindow(x.Close)
 	case x.Instances != nil:
-		c.Instances = x.Instances
+		c.Instances, c.Software = x.Instances, x.Software
 	case x.ReportedWindow != 0:
 		if w := c.Windows[x.ReportedWindow]; w != nil {
 			w.Reported = true
--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -180,7 +180,7 @@
 			inner = &NotLeaderError{Addr: addr}
 			return
 		}
-		s.leadership.loadRoster(s.catalog.Instances)
+		s.leadership.loadRoster(s.catalog.Instances, s.catalog.Software)
 		inner = f(s.leadership)
 	})
 	if err != nil {
--- a/internal/process/director/leadership.go
+++ b/internal/process/director/leadership.go
@@ -102,10 +102,11 @@
 // loadRoster loads the roster stored in the log. A process that has just been elected may
 // not have applied the log yet, so loading waits for the first call that needs the
 // leader.
-func (l *leadership) loadRoster(stored []roster.Instance) {
+func (l *leadership) loadRoster(stored []roster.Instance, software []roster.Software) {
 	if !l.rosterLoaded {
 		l.rosterLoaded = true
 		l.roster.Load(stored, time.Now())
+		l.roster.LoadSoftware(software, time.Now())
 	}
 }
 
--- a/internal/process/director/streams.go
+++ b/internal/process/director/streams.go
@@ -29,7 +29,7 @@
 }
 
 // Find returns where a stream has begun. If that is not known, but the service that is named has had
-// a single software version, the stream has begun at that one.
+// a single software version for as long as a stream lasts, the stream has begun at that one.
 func (s *Server) Find(ctx context.Context, q *fleet.Stream) (*fleet.Stream, error) {
 	a := &fleet.Stream{Workspace: q.Workspace, Request: q.Request}
 	err := s.onLeader(ctx, func(l *leadership) error {
@@ -37,7 +37,7 @@
 		a.Settled = now.Sub(l.since) > streamsTold
 		if o, ok := l.streams.Find(origin.Key{Workspace: q.Workspace, Request: q.Request}); ok {
 			a.Service, a.Software, a.Known = o.Service, o.Software, true
-		} else if software, ok := l.roster.SoleSoftware(q.Service); ok && s.rosterReady(l, now) {
+		} else if software, ok := l.roster.SoleSoftware(q.Service, now); ok && s.rosterReady(l, now) {
 			a.Service, a.Software, a.Known = q.Service, software, true
 		}
 		return nil
--- a/internal/process/director/tasks.go
+++ b/internal/process/director/tasks.go
@@ -75,11 +75,11 @@
 		return
 	}
 	l.saving = true
-	revision, all := l.roster.Revision, l.roster.All()
+	revision, all, software := l.roster.Revision, l.roster.All(), l.roster.Software()
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 		defer cancel()
-		err := s.propose(ctx, &catalog.Command{Instances: all})
+		err := s.propose(ctx, &catalog.Command{Instances: all, Software: software})
 		doErr := s.do(context.WithoutCancel(ctx), func() {
 			l.saving, l.savedAt = false, time.Now()
 			if err == nil {
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -84,6 +84,8 @@
 	floor uint64
 	// removed holds the removed instances and the first revision without them.
 	removed map[string]uint64
+	// software is when an instance of each software version was last heard of.
+	software map[softwareKey]time.Time
 }
 
 type entry struct {
@@ -96,7 +98,8 @@
 
 // New returns an empty table whose revisions start above base.
 func New(base uint64) *Table {
-	return &Table{Revision: base, RoutingRevision: base, floor: base, all: map[string]*entry{}, removed: map[string]uint64{}}
+	return &Table{Revision: base, RoutingRevision: base, floor: base, all: map[string]*entry{}, removed: map[string]uint64{},
+		software: map[softwareKey]time.Time{}}
 }
 
 // Announce applies an announcement and reports whether it was newer than the current
@@ -107,6 +110,9 @@
 		return false
 	}
 	t.displace(x, now)
+	if x.State != Gone {
+		t.software[softwareKey{x.Service, x.Software}] = now
+	}
 	if current != nil && current.Leaving && current.Born == x.Born {
 		if x.Leaving = true; x.State == Ready {
 			x.State = Draining
@@ -189,6 +195,7 @@
 		return
 	}
 	current.State, current.lastContact = Gone, now
+	t.software[softwareKey{current.Service, current.Software}] = now
 	t.revise(current)
 }
 
@@ -204,9 +211,10 @@
 	return true
 }
 
-// Expire removes the instances that have sent no announcement within silenceTimeout, and
-// departed ones after goneRetention.
+// Expire removes the instances that have sent no announcement within silenceTimeout, departed ones
+// after goneRetention, and software versions after softwareRetention.
 func (t *Table) Expire(now time.Time) {
+	t.expireSoftware(now)
 	for _, e := range t.all {
 		limit := silenceTimeout
 		if e.State == Gone {
@@ -309,26 +317,14 @@
 		if current := t.all[x.ID]; current == nil || newer(&x, &current.Instance) {
 			e := &entry{Instance: x, lastContact: now}
 			t.all[x.ID] = e
+			if x.Service != "" {
+				t.software[softwareKey{x.Service, x.Software}] = now
+			}
 			t.revise(e)
 		}
 	}
 }
 
-// SoleSoftware returns the software version of the instances of a service, including those that
-// departed lately. It returns false if there are several versions, or no instance.
-func (t *Table) SoleSoftware(service string) (software string, ok bool) {
-	for _, e := range t.all {
-		switch {
-		case e.Service != service:
-		case !ok:
-			software, ok = e.Software, true
-		case e.Software != software:
-			return "", false
-		}
-	}
-	return software, ok
-}
-
 // Live returns the instances that have not departed, sorted by ID.
 func (t *Table) Live() []Instance {
 	var out []Instance
