Watch the links by one open connection instead of new ones

It now keeps one connection open, whose keep-alive probes end it within 2 s of a cut, and a connection for a request that does not open within 0.15 s is evidence as well.

--- a/internal/connection/dial/dial.go
+++ b/internal/connection/dial/dial.go
@@ -23,6 +23,9 @@
 	// unackedTimeout closes a connection whose peer does not acknowledge data or
 	// keep-alive probes.
 	unackedTimeout = 1500 * time.Millisecond
+	// sentinelTimeout is unackedTimeout of a connection that watches the links. Keep-alive counts in
+	// seconds.
+	sentinelTimeout = time.Second
 	// idleTimeout closes an idle connection between processes of the service.
 	idleTimeout = 30 * time.Second
 	// maxIdlePerHost is the number of idle connections that are kept per host.
@@ -32,19 +35,29 @@
 )
 
 // New returns a TCP dialer.
-func New() *net.Dialer {
+func New() *net.Dialer { return newDialer(unackedTimeout, unackedTimeout/2) }
+
+// Sentinel opens a connection whose end is noticed within sentinelTimeout and a probe, also if the
+// peer is cut off. It carries no data.
+func Sentinel(ctx context.Context, addr string) (net.Conn, error) {
+	return newDialer(sentinelTimeout, sentinelTimeout).DialContext(ctx, "tcp4", addr)
+}
+
+// newDialer returns a dialer of connections that end once the peer has acknowledged nothing for the
+// given time. The user timeout also decides when keep-alive probes give up.
+func newDialer(unacked, interval time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: unackedTimeout, Interval: unackedTimeout / 2, Count: 2},
-		Control:         setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: unacked, Interval: interval, Count: 2},
+		Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, unacked) },
 	}
 }
 
 // setUserTimeout sets how long sent data may stay unacknowledged.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+func setUserTimeout(c syscall.RawConn, unacked time.Duration) error {
 	var inner error
 	err := c.Control(func(fd uintptr) {
-		inner = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout/time.Millisecond))
+		inner = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked/time.Millisecond))
 	})
 	if err != nil {
 		return err
--- a/internal/connection/links/monitor.go
+++ b/internal/connection/links/monitor.go
@@ -18,6 +18,8 @@
 	retryInterval = 250 * time.Millisecond
 	// probeTimeout bounds opening a connection. Hosts are a few milliseconds apart.
 	probeTimeout = 300 * time.Millisecond
+	// slowConnect is the time from which a connection that does not open is evidence.
+	slowConnect = 150 * time.Millisecond
 )
 
 // Config holds the dependencies of a Monitor.
@@ -25,6 +27,8 @@
 	// Servers returns the servers that requests may be sent to.
 	Servers func() []Server
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
+	// DialSentinel opens a connection whose end is noticed soon, also if the server is cut off.
+	DialSentinel func(ctx context.Context, addr string) (net.Conn, error)
 	// Changed is called on the monitor's goroutine after each change of the verdict.
 	Changed func(Change)
 	Log     *logrus.Entry
@@ -38,6 +42,12 @@
 	wake    chan struct{}
 	// probedAt is when servers were last probed on suspicion.
 	probedAt time.Time
+	// sentinel is a connection without requests. While it is open, the links are not lost, so that a host
+	// without requests need not open others.
+	sentinel net.Conn
+	// sentinelEnded is closed when sentinel has ended, sentinelOpened is when it was opened.
+	sentinelEnded  chan struct{}
+	sentinelOpened time.Time
 }
 
 // New returns a monitor that is not running yet.
@@ -55,10 +65,17 @@
 	}
 }
 
-// Failed records a server that could not be reached, or that ended the connection without a
-// response.
-func (m *Monitor) Failed(id string) {
-	if m != nil && m.tracker.Failed(id, time.Now()) {
+// Dial opens a connection for requests.
+func (m *Monitor) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	slow := time.AfterFunc(slowConnect, func() { m.Failed(addr) })
+	defer slow.Stop()
+	return m.cfg.Dial(ctx, addr)
+}
+
+// Failed records that the server at an address could not be reached, or has ended the connection
+// without a response.
+func (m *Monitor) Failed(addr string) {
+	if m != nil && m.tracker.Failed(addr, time.Now()) {
 		select {
 		case m.wake <- struct{}{}:
 		default:
@@ -68,19 +85,26 @@
 
 // Run probes servers until ctx ends.
 func (m *Monitor) Run(ctx context.Context) {
+	defer m.closeSentinel()
 	for ctx.Err() == nil {
 		interval := checkInterval
 		if m.tracker.Lost() {
 			interval = retryInterval
 		}
 		timer := time.NewTimer(interval)
+		due := true
 		select {
 		case <-ctx.Done():
 		case <-m.wake:
 		case <-timer.C:
+		case <-m.sentinelEnded:
+			m.closeSentinel()
+			due = time.Since(m.sentinelOpened) > checkInterval // some servers take no connection without requests
 		}
 		timer.Stop()
-		m.check(ctx)
+		if due {
+			m.check(ctx)
+		}
 	}
 }
 
@@ -95,7 +119,10 @@
 		m.probedAt = now
 		sizes = []int{sampleSize, confirmSize}
 	case m.tracker.Quiet(now):
-		sizes = []int{1, sampleSize, confirmSize}
+		if m.sentinel != nil || m.openSentinel(ctx) {
+			return
+		}
+		sizes = []int{confirmSize}
 	default:
 		return
 	}
@@ -118,6 +145,7 @@
 	}
 	entry := m.cfg.Log.WithFields(logrus.Fields{"probed": probed, "opened": opened, "since_ms": now.Sub(c.Since).Milliseconds()})
 	if c.Lost {
+		m.closeSentinel()
 		m.cfg.Scope.Counter("links_lost").Inc(1)
 		entry.Warn("links to all backend servers are lost")
 	} else {
@@ -126,6 +154,35 @@
 	m.cfg.Changed(c)
 }
 
+// openSentinel opens a connection to any server and reports whether that is no reason to probe others.
+func (m *Monitor) openSentinel(ctx context.Context) bool {
+	sample := Sample(m.cfg.Servers(), 1)
+	if len(sample) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	m.cfg.Scope.Counter("link_probes").Inc(1)
+	c, err := m.cfg.DialSentinel(ctx, sample[0].Addr)
+	if err != nil {
+		return false
+	}
+	ended := make(chan struct{})
+	m.sentinel, m.sentinelEnded, m.sentinelOpened = c, ended, time.Now()
+	go func() {
+		defer close(ended)
+		_, _ = c.Read(make([]byte, 1)) // servers send nothing without a request
+	}()
+	return true
+}
+
+func (m *Monitor) closeSentinel() {
+	if m.sentinel != nil {
+		m.sentinel.Close()
+		m.sentinel, m.sentinelEnded = nil, nil
+	}
+}
+
 // probe opens connections to servers at the same time and closes them.
 func (m *Monitor) probe(ctx context.Context, n int) (probed, opened int) {
 	sample := Sample(m.cfg.Servers(), n)
--- a/internal/connection/links/tracker.go
+++ b/internal/connection/links/tracker.go
@@ -1,10 +1,10 @@
 // Package links decides whether this host has lost its links to all backend servers, as in a network
 // partition, in contrast to servers or services that are down.
 //
-// Attempts of requests are evidence. If servers fail one after another and none responds, or if there
-// is no evidence for a while, connections to servers of different services and availability zones are
-// opened: the links are lost if none of them opens. Load: some thousand attempts a second, and about
-// one connection a second on a host without requests.
+// Attempts of requests are evidence. If servers fail one after another and none responds, connections
+// to servers of different services and availability zones are opened: the links are lost if none of
+// them opens. A host without requests keeps one connection open, whose end is a reason to look. Load:
+// some thousand attempts a second.
 package links
 
 import (
@@ -14,7 +14,7 @@
 )
 
 const (
-	// quietPeriod is the time without a response of any server after which one is probed.
+	// quietPeriod is the time without a response of any server after which other evidence is needed.
 	quietPeriod = time.Second
 	// suspectServers is the number of servers that must fail one after another, without a
 	// response of any, before others are probed.
@@ -37,7 +37,7 @@
 	mu sync.Mutex
 	// respondedAt is when a server last responded.
 	respondedAt time.Time
-	// failed holds the servers that have failed since then, firstFailure is when the first did.
+	// failed holds the addresses of the servers that have failed since then, firstFailure is when the first did.
 	failed       map[string]bool
 	firstFailure time.Time
 	lost         bool
@@ -59,16 +59,16 @@
 	clear(t.failed)
 }
 
-// Failed records that a server could not be reached, or has ended the connection without a response.
-// It reports whether other servers should be probed.
-func (t *Tracker) Failed(id string, now time.Time) (suspicious bool) {
+// Failed records that the server at an address could not be reached, or has ended the connection
+// without a response. It reports whether other servers should be probed.
+func (t *Tracker) Failed(addr string, now time.Time) (suspicious bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.failed) == 0 {
 		t.firstFailure = now
 	}
 	if len(t.failed) < sampleSize {
-		t.failed[id] = true
+		t.failed[addr] = true
 	}
 	return !t.lost && len(t.failed) >= suspectServers
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -40,11 +41,14 @@
 
 // Config holds the settings and dependencies of a Server.
 type Config struct {
-	Site    settings.Site
-	Log     *logrus.Entry
-	Scope   tally.Scope
-	Client  *http.Client
+	Site   settings.Site
+	Log    *logrus.Entry
+	Scope  tally.Scope
+	Client *http.Client
+	// Servers calls backend servers. New makes it tell of connections that open slowly.
 	Servers *attempt.Client
+	// DialSentinel opens a connection to a backend server whose end is noticed soon.
+	DialSentinel func(ctx context.Context, addr string) (net.Conn, error)
 	// Relays calls other entry hosts.
 	Relays  *attempt.Client
 	Headers httpheader.Names
@@ -91,7 +95,8 @@
 	s.table.Connected = cfg.Servers.Idle
 	guard := quarantine.NewGuard(quarantine.GuardConfig{Table: s.quarantine, Log: cfg.Log, Scope: cfg.Scope,
 		Contact: s.hasContact, ReportNow: s.reportQuarantine})
-	s.links = links.New(links.Config{Servers: s.backendServers, Dial: cfg.Servers.Dial, Changed: s.linksChanged, Log: cfg.Log, Scope: cfg.Scope})
+	s.links = links.New(links.Config{Servers: s.backendServers, Dial: cfg.Servers.Dial, DialSentinel: cfg.DialSentinel, Changed: s.linksChanged, Log: cfg.Log, Scope: cfg.Scope})
+	cfg.Servers.Dial = s.links.Dial
 	s.forwarder = forward.New(forward.Config{Links: s.links, Relays: forward.Relays{Client: cfg.Relays, Hosts: s.relayHosts}, Table: s.table, Client: cfg.Servers, Headers: cfg.Headers, Log: cfg.Log,
 		Scope: cfg.Scope, Guard: guard, Limits: ratelimit.NewReader(ratelimit.ReaderConfig{Book: s.table.Limits,
 			Header: cfg.Headers.RateLimit, Log: cfg.Log, Scope: cfg.Scope}),
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -313,7 +313,7 @@
 	if err != nil {
 		cancel()
 		if ctx.Err() == nil {
-			f.cfg.Links.Failed(slot.ID)
+			f.cfg.Links.Failed(slot.Addr)
 		}
 		f.attemptFailed(ctx, s, slot, err, now)
 		return nil, false
