Encode changes of the roster outside the control thread

Each change of a server was encoded and compressed for each host on the thread on which the control leader does everything else. It is now done where full copies are encoded. No caller saw a difference; found on reading the change.

--- a/internal/process/director/update.go
+++ b/internal/process/director/update.go
@@ -14,13 +14,14 @@
 	"github.com/plantainbank/plantainbank/service/fleet"
 )
 
-// update is the answer to a report. Its full copies are encoded outside the control goroutine, where
+// update is the answer to a report. Its copies are encoded outside the control goroutine, where
 // they would delay all other calls.
 type update struct {
 	news *fleet.News
 	// public is the catalog to send as a full copy, nil if none is sent.
 	public *catalog.Public
-	// instances is the roster to send as a full copy if roster is set.
+	// instances is the roster to send, or what has changed in it; roster tells which, noCopy if none is
+	// sent.
 	instances []roster.Instance
 	roster    copyKind
 	// compressed is true if the host takes compressed copies.
@@ -81,8 +82,8 @@
 	routing := q.Role == settings.RoleEntry
 	if q.Differences {
 		if changed, removed, ok := l.roster.Since(q.Roster, routing); ok {
-			u.news.Roster, u.news.Partial = l.rosterRevision(q.Role), true
-			u.news.Instances, u.news.Removed = compress(encode(changed)), removed
+			u.news.Roster, u.news.Partial, u.news.Removed = l.rosterRevision(q.Role), true, removed
+			u.instances, u.roster = changed, partialRoster
 			return
 		}
 	}
@@ -94,13 +95,17 @@
 	}
 }
 
-// encodeUpdate encodes the full copies of an update.
+// encodeUpdate encodes the copies of an update.
 func (s *Server) encodeUpdate(u *update) *fleet.News {
 	n := u.news
 	if u.public != nil {
 		n.State = s.copies.get(copyKey{fullCatalog, u.compressed}, n.Catalog, u.public.Encode)
 	}
-	if u.roster != noCopy {
+	switch u.roster {
+	case noCopy:
+	case partialRoster:
+		n.Instances = compress(encode(u.instances))
+	default:
 		n.Instances = s.copies.get(copyKey{u.roster, u.compressed}, n.Roster, func() []byte { return encode(u.instances) })
 	}
 	size := len(n.State) + len(n.Instances)
@@ -111,15 +116,16 @@
 	return n
 }
 
-// copyKind is a kind of full copy.
+// copyKind is a kind of copy.
 type copyKind int
 
-// Kinds of full copies. A routing roster has no weights.
+// Kinds of copies. A routing roster has no weights; a partial roster is encoded for each host.
 const (
 	noCopy copyKind = iota
 	fullCatalog
 	fullRoster
 	routingRoster
+	partialRoster
 )
 
 type copyKey struct {
