Report a leaving server at once only if control does not know

A host ended its call to control for each server that it first saw leave in a response, also if the roster had said so before. With hundreds of hosts and a release that is two calls for each host and server, for nothing.

--- a/internal/connection/departure/departure_test.go
+++ b/internal/connection/departure/departure_test.go
@@ -78,7 +78,7 @@
 		{[]string{""}, false}, {[]string{"1", "1"}, false}, {[]string{"1", "0"}, false}, {[]string{"1, 1"}, false},
 	} {
 		s, reports := NewSet(), 0
-		r := NewReader(ReaderConfig{Set: s, Header: "X-Leaving", ReportNow: func() { reports++ }, Log: logrus.NewEntry(log), Scope: tally.NoopScope})
+		r := NewReader(ReaderConfig{Set: s, Header: "X-Leaving", Report: func(Incarnation) { reports++ }, Log: logrus.NewEntry(log), Scope: tally.NoopScope})
 		var h fasthttp.ResponseHeader
 		for _, v := range c.values {
 			h.Add("X-Leaving", v)
--- a/internal/connection/departure/reader.go
+++ b/internal/connection/departure/reader.go
@@ -15,10 +15,10 @@
 	// Header is the name of the header by which a server says that it leaves; empty if the site
 	// has none.
 	Header string
-	// ReportNow reports a server to control at once.
-	ReportNow func()
-	Log       *logrus.Entry
-	Scope     tally.Scope
+	// Report is called once for each server, to report it to control.
+	Report func(Incarnation)
+	Log    *logrus.Entry
+	Scope  tally.Scope
 }
 
 // Reader reads from the responses of backend servers whether they leave. A nil Reader reads
@@ -41,6 +41,6 @@
 	case r.cfg.Set.Record(x):
 		r.cfg.Scope.Counter("leaving_servers").Inc(1)
 		r.cfg.Log.WithFields(logrus.Fields{"instance": x.ID, "born": x.Born, "source": "response"}).Info("server leaves")
-		r.cfg.ReportNow()
+		r.cfg.Report(x)
 	}
 }
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,7 +61,7 @@
 	Public          catalog.Public
 	// Table is nil until a configuration is known.
 	Table *routing.Table
-	// Instances are the backend servers, including departed ones.
+	// Instances are the backend servers, including departed ones, sorted by ID.
 	Instances []roster.Instance
 	// Stores are the live store hosts, StoreLeader is the address of their leader.
 	Stores      []*fleet.Host
@@ -311,6 +312,15 @@
 	return errProvisional
 }
 
+// ReportLeaving reports a server that leaves at once, unless control has said so already.
+func (f *Feed) ReportLeaving(x departure.Incarnation) {
+	all := f.State().Instances
+	i, found := slices.BinarySearchFunc(all, x.ID, func(a roster.Instance, id string) int { return strings.Compare(a.ID, id) })
+	if found && all[i].Born == x.Born && all[i].State == roster.Ready {
+		f.ReportNow()
+	}
+}
+
 // LeavingServers returns the servers that a host reports as leaving.
 func LeavingServers(set *departure.Set) []*fleet.Incarnation {
 	var out []*fleet.Incarnation
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -101,7 +101,7 @@
 		Scope: cfg.Scope, Guard: guard, Limits: ratelimit.NewReader(ratelimit.ReaderConfig{Book: s.table.Limits,
 			Header: cfg.Headers.RateLimit, Log: cfg.Log, Scope: cfg.Scope}),
 		Departures: departure.NewReader(departure.ReaderConfig{Set: s.table.Departures, Header: cfg.Headers.Leaving,
-			ReportNow: func() { s.feed.ReportNow() }, Log: cfg.Log, Scope: cfg.Scope}),
+			Report: func(x departure.Incarnation) { s.feed.ReportLeaving(x) }, Log: cfg.Log, Scope: cfg.Scope}),
 		OnStream: s.streamBegan,
 		OnStart:  func(workspace string) { s.usage.add(workspace, time.Now()) }})
 	s.feed = feed.New(feed.Config{Role: settings.RoleEntry, Host: cfg.Site.Host, Incarnation: uint64(time.Now().UnixNano()),
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -152,7 +152,7 @@
 
 func (s *Server) departureReader(t *placement.Table) *departure.Reader {
 	return departure.NewReader(departure.ReaderConfig{Set: t.Departures, Header: s.cfg.Headers.Leaving,
-		ReportNow: func() { s.feed.ReportNow() }, Log: s.log, Scope: s.cfg.Scope})
+		Report: func(x departure.Incarnation) { s.feed.ReportLeaving(x) }, Log: s.log, Scope: s.cfg.Scope})
 }
 
 func (d *driver) clear() {
--- a/internal/request/forward/leaving_test.go
+++ b/internal/request/forward/leaving_test.go
@@ -58,7 +58,7 @@
 			Born: 7}}, nil, routing.NewTable(&routing.Config{}), 1)
 		f := New(Config{Table: table, Client: attempt.NewClient(), Headers: headers, Log: logrus.NewEntry(log), Scope: tally.NoopScope,
 			OnStart: func(string) {}, Departures: departure.NewReader(departure.ReaderConfig{Set: table.Departures, Header: "X-Leaving",
-				ReportNow: func() { reports.Add(1) }, Log: logrus.NewEntry(log), Scope: tally.NoopScope})})
+				Report: func(departure.Incarnation) { reports.Add(1) }, Log: logrus.NewEntry(log), Scope: tally.NoopScope})})
 		r := newRequest("r", "ok")
 		r.Route.MaxAttempts = 1
 		f.Do(context.Background(), r)
--- a/internal/request/itemrun/run_test.go
+++ b/internal/request/itemrun/run_test.go
@@ -293,7 +293,7 @@
 		log.SetOutput(io.Discard)
 		set := departure.NewSet()
 		r := &Runner{Client: attempt.NewClient(), Headers: headers, Departures: departure.NewReader(departure.ReaderConfig{Set: set,
-			Header: "X-Leaving", ReportNow: func() {}, Log: logrus.NewEntry(log), Scope: tally.NoopScope})}
+			Header: "X-Leaving", Report: func(departure.Incarnation) {}, Log: logrus.NewEntry(log), Scope: tally.NoopScope})}
 		r.Run(context.Background(), placement.Slot{ID: "e", Addr: addr, Born: 3}, &batch.Batch{Host: "h"}, batch.Item{ID: "i", Path: "/x"},
 			&Progress{}, func() {})
 		if set.Leaves(departure.Incarnation{ID: "e", Born: 3}) != c.leaves {
