Decide on a request's admission at one host only

A request that was to go through another host since the links were lost, and then went directly as they came back in the same moment, was admitted by neither host's quarantine. Found on reading the change; no play showed it.

--- a/internal/connection/placement/table_test.go
+++ b/internal/connection/placement/table_test.go
@@ -231,3 +231,41 @@
 		t.Fatal("a loaded server is still preferred")
 	}
 }
+
+// TestForgivenServersAreUsedAtOnce lets all servers of a host fail, as in a cut of its own links: once that
+// is forgiven, no cooldown and no cold start holds them back. A server that failed before is not forgiven.
+func TestForgivenServersAreUsedAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable()
+	var all []roster.Instance
+	for _, id := range []string{"a", "b", "c"} {
+		all = append(all, roster.Instance{ID: id, Service: "s", Addr: id, Slots: 4, State: roster.Ready, Born: 1})
+	}
+	table.Update(all, nil, routing.NewTable(&routing.Config{Services: []routing.Service{{Name: "s", ColdStart: 10 * time.Second, ColdRate: 1}}}), 1)
+	req := Requirement{Service: "s"}
+	fail := func(id string, at time.Time) {
+		t.Helper()
+		avoid := map[string]bool{"a": true, "b": true, "c": true}
+		delete(avoid, id)
+		slot, ok := table.Take(Requirement{Service: "s", Avoid: avoid}, at)
+		if !ok {
+			t.Fatalf("no slot at %s", id)
+		}
+		table.Done(slot, ConnectFailed, 0, at)
+	}
+	fail("c", now)
+	cut := now.Add(100 * time.Millisecond)
+	fail("a", cut)
+	fail("b", cut)
+	later := cut.Add(50 * time.Millisecond)
+	if table.Available(req, later) {
+		t.Fatal("a server that has failed is available")
+	}
+	table.Forgive(cut)
+	for range 4 {
+		slot, ok := table.Take(req, later)
+		if !ok || slot.ID == "c" || slot.Cold {
+			t.Fatalf("after the cut: %+v, %v", slot, ok)
+		}
+	}
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -182,10 +182,11 @@
 // Do forwards a request and returns the response to it.
 func (f *Forwarder) Do(ctx context.Context, r *Request) *Response {
 	s := newRequestState(r)
-	if !f.unlinked(s) { // otherwise the host that the request is sent through decides
-		if s.admission = f.cfg.Guard.Admit(s.subject()); s.admission.Verdict == quarantine.Refuse {
-			return quarantinedResponse(s)
-		}
+	send := f.do
+	if f.unlinked(s) {
+		send = f.relay // the other host decides on its admission
+	} else if s.admission = f.cfg.Guard.Admit(s.subject()); s.admission.Verdict == quarantine.Refuse {
+		return quarantinedResponse(s)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := watchDisconnect(r.Disconnected, cancel)
@@ -193,7 +194,7 @@
 		stop()
 		cancel(nil)
 	}
-	a := f.do(ctx, s)
+	a := send(ctx, s)
 	if s.trial() && s.sent == 0 {
 		f.cfg.Guard.Withdraw(s.subject(), s.admission)
 	}
