--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -27,7 +27,9 @@
 const config = `{"version":%d,"routes":[
 {"name":"r-lots","host":"ficu95.example","path_prefix":"/pufi791/","route_type":"rollout","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"proofer","max_attempts":3,"item_ttl_s":40.0,"deadline_ms":7500,"single_version":false,"public":false,"sticky":true,"resumable":true},
 {"name":"r-plain","host":"ficu95.example","path_prefix":"/lohu930/","route_type":"idempotent","timeout_ms":1500,"target_latency_ms":150,"priority":2,"service":"counter","max_attempts":2,"public":false},
-{"name":"r-once","host":"ficu95.example","path_prefix":"/once/","route_type":"non_idempotent","timeout_ms":10000,"target_latency_ms":150,"priority":2,"service":"counter","max_attempts":2,"public":false}],
+{"name":"r-once","host":"ficu95.example","path_prefix":"/once/","route_type":"non_idempotent","timeout_ms":10000,"target_latency_ms":150,"priority":2,"service":"counter","max_attempts":2,"public":false},
+{"name":"r-streams","host":"ficu95.example","path_prefix":"/streams/","route_type":"streaming","timeout_ms":10000,"target_latency_ms":400,"priority":2,"service":"counter","max_attempts":3,"public":false,"resumable":true},
+{"name":"r-tales","host":"ficu95.example","path_prefix":"/tales/","route_type":"streaming","timeout_ms":10000,"target_latency_ms":400,"priority":2,"service":"counter","max_attempts":2,"public":false}],
 "services":[
 {"name":"proofer","health_path":"/healthz","max_conns":150,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":13.0,"engine":{"slots":12,"kv_capacity_tokens":42584,"models":[{"name":"daka510000"}]}},
 {"name":"counter","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}],
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,12 +29,11 @@
 	play reviewCase
 	size siteSize
 }{
-	"late-422":      {playLate422, rahbar},
-	"core-killed":   {playCoreKilled, rahbar},
-	"spoiled-ids":   {playSpoiledIDs, rahbar},
-	"tenant-header": {playTenantHeader, rahbar},
-	"slow-stop":     {playSlowStop, rahbar},
-	"large-bodies":  {playLargeBodies, siteSize{control: 5, store: 3, entry: 3, entryMB: 284}},
+	"late-422":     {playLate422, rahbar},
+	"core-killed":  {playCoreKilled, rahbar},
+	"spoiled-ids":  {playSpoiledIDs, rahbar},
+	"slow-stop":    {playSlowStop, rahbar},
+	"left-streams": {playLeftStreams, rahbar},
 }
 
 func main() {
