--- a/review/platform/case_streams.go
+++ b/review/platform/case_streams.go
@@ -21,11 +21,11 @@
 	breakShare      = 0.5
 	breakRate       = 0.02
 	leaveShare      = 0.5
-	streamConsumers = 15
-	plainConsumers  = 12
+	streamConsumers = 24
+	plainConsumers  = 18
 	streamsTime     = 95 * time.Second
 	// enough is the number of broken rules after which the case ends.
-	enough = 4
+	enough = 2
 )
 
 // playLeftStreams lets consumers of two tenants read streams that may be resumed; some consumers leave early.
@@ -35,7 +35,7 @@
 	x := &leftStreams{s: s, trouble: trouble, runs: map[string][]string{}}
 	for i := range 6 {
 		broken := &brokenAnswers{faulty: trouble && float64(i) < 6*breakShare}
-		if _, err := startServer(s, i, fmt.Sprintf("i-c%d", i), "counter", "", 6, func(e *exchange) bool { return x.serve(e, broken) }); err != nil {
+		if _, err := startServer(s, i, fmt.Sprintf("i-c%d", i), "counter", "", 12, func(e *exchange) bool { return x.serve(e, broken) }); err != nil {
 			return nil, err
 		}
 	}
