--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -1,8 +1,8 @@
 // Command standin runs one case of the review: it starts a small deployment of the service as
 // separate processes, plays its callers, backend servers and platform, and checks one rule.
 //
-// The exit status is 1 if the rule was broken, 0 if it held and 2 if the case could not run. With
-// TROUBLE=0 in the environment the case runs without its disruption.
+// The exit status is 1 if the rule was broken, 0 if it held and 2 if the case could not run. If its
+// last argument, the TROUBLE of the case's script, is 0, the case runs without its disruption.
 package main
 
 import (
@@ -37,8 +37,8 @@
 }
 
 func main() {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD TROUBLE")
 		os.Exit(exitFailed)
 	}
 	c, ok := cases[os.Args[1]]
@@ -46,7 +46,7 @@
 		fmt.Fprintf(os.Stderr, "no case is named %q\n", os.Args[1])
 		os.Exit(exitFailed)
 	}
-	os.Exit(run(c.play, c.size, os.Args[2], os.Getenv("TROUBLE") != "0"))
+	os.Exit(run(c.play, c.size, os.Args[2], os.Args[3] != "0"))
 }
 
 func run(play reviewCase, size siteSize, recordFile string, trouble bool) int {
