--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -29,11 +29,13 @@
 	play reviewCase
 	size siteSize
 }{
-	"late-422":     {playLate422, rahbar},
-	"core-killed":  {playCoreKilled, rahbar},
-	"spoiled-ids":  {playSpoiledIDs, rahbar},
-	"slow-stop":    {playSlowStop, rahbar},
-	"left-streams": {playLeftStreams, rahbar},
+	"late-422":        {playLate422, rahbar},
+	"core-killed":     {playCoreKilled, rahbar},
+	"spoiled-ids":     {playSpoiledIDs, rahbar},
+	"slow-stop":       {playSlowStop, rahbar},
+	"left-streams":    {playLeftStreams, rahbar},
+	"many-channels":   {playManyChannels, limited},
+	"foreign-streams": {playForeignStreams, rahbar},
 }
 
 func main() {
--- a/review/platform/site.go
+++ b/review/platform/site.go
@@ -37,8 +37,13 @@
 type siteSize struct {
 	control, store, entry int
 	entryMB               int
+	// entryFDs is the number of descriptors of an entry process, zero for that of this process.
+	entryFDs int
 }
 
+// limited is the same with the descriptors that the pages give an edge machine.
+var limited = siteSize{control: 5, store: 3, entry: 3, entryMB: 284, entryFDs: 4100}
+
 // rahbar is the Rahbar Laminate deployment with one entry host in each zone.
 var rahbar = siteSize{control: 5, store: 3, entry: 3, entryMB: 284}
 
@@ -183,6 +188,9 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(program, "site", role)
+	if role == "entry" && s.size.entryFDs > 0 {
+		cmd = exec.Command("sh", "-c", `ulimit -n "$0" && exec "$@"`, fmt.Sprint(s.size.entryFDs), program, "site", role)
+	}
 	// A machine of the pages reports one core.
 	cmd.Env = append(os.Environ(), "PLANTAINBANK_NODE_FILE="+file, "GOMAXPROCS=1")
 	cmd.Stdout, cmd.Stderr = out, out
@@ -246,6 +254,23 @@
 	return p
 }
 
+// peakMemory returns the most memory that a process has had.
+func (s *site) peakMemory(n string) string {
+	s.mu.Lock()
+	pid := s.procs[n].cmd.Process.Pid
+	s.mu.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			return strings.TrimSpace(value)
+		}
+	}
+	return "an unknown amount"
+}
+
 // ownEnds returns how often each process has ended by itself.
 func (s *site) ownEnds() map[string]int {
 	s.mu.Lock()
