--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -35,6 +35,7 @@
 	"slow-stop":       {playSlowStop, rahbar},
 	"left-streams":    {playLeftStreams, rahbar},
 	"many-channels":   {playManyChannels, limited},
+	"other-writer":    {playOtherWriter, rahbar},
 	"foreign-streams": {playForeignStreams, rahbar},
 }
 
