--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -36,6 +36,7 @@
 	"left-streams":    {playLeftStreams, rahbar},
 	"many-channels":   {playManyChannels, limited},
 	"other-writer":    {playOtherWriter, rahbar},
+	"sent-tenant":     {playSentTenant, rahbar},
 	"foreign-streams": {playForeignStreams, rahbar},
 }
 
