--- a/review/platform/case_foreign.go
+++ b/review/platform/case_foreign.go
@@ -15,7 +15,9 @@
 )
 
 const (
-	foreignTime     = 75 * time.Second
+	foreignTime = 75 * time.Second
+	// foreignEnough is the number of breaks after which the case ends.
+	foreignEnough   = 6
 	foreignStreams  = 6 * time.Millisecond // between two streams
 	foreignOnce     = 4 * time.Millisecond // between two requests that may run once
 	foreignEvents   = 40
@@ -39,7 +41,6 @@
 	sent   map[string]sentRequest
 	runs   map[string]int
 	broken []string
-	lines  int
 }
 
 func (l *ledger) send(id string, r sentRequest) {
@@ -198,16 +199,21 @@
 		}
 	}
 	end := time.Now().Add(foreignTime)
+	over := func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.broken) >= foreignEnough || !time.Now().Before(end)
+	}
 	var wg sync.WaitGroup
 	load := func(pause time.Duration, f func(*site, int)) {
-		for n := 0; time.Now().Before(end); n++ {
+		for n := 0; !over(); n++ {
 			wg.Go(func() { f(s, n) })
 			time.Sleep(pause)
 		}
 	}
 	wg.Go(func() { load(foreignStreams, l.stream) })
 	wg.Go(func() { load(foreignOnce, l.once) })
-	for n := 0; trouble && time.Now().Before(end.Add(-foreignCrash)); n++ {
+	for n := 0; trouble && !over(); n++ {
 		time.Sleep(foreignCrash - foreignDownTime)
 		i := n % len(servers)
 		s.rec.add("platform", "%s crashes", servers[i].id)
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -33,7 +33,6 @@
 	"core-killed":     {playCoreKilled, rahbar},
 	"spoiled-ids":     {playSpoiledIDs, rahbar},
 	"slow-stop":       {playSlowStop, rahbar},
-	"left-streams":    {playLeftStreams, rahbar},
 	"many-channels":   {playManyChannels, limited},
 	"other-writer":    {playOtherWriter, rahbar},
 	"sent-tenant":     {playSentTenant, rahbar},
