--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -35,6 +35,7 @@
 	"slow-stop":       {playSlowStop, rahbar},
 	"many-channels":   {playManyChannels, limited},
 	"other-writer":    {playOtherWriter, rahbar},
+	"renamed-route":   {playRenamedRoute, rahbar},
 	"sent-tenant":     {playSentTenant, rahbar},
 	"foreign-streams": {playForeignStreams, rahbar},
 }
