--- a/review/platform/case_channels.go
+++ b/review/platform/case_channels.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -25,6 +26,8 @@
 	// configApply is config_apply_ms of the deployment.
 	configApply  = 2 * time.Second
 	channelsWait = 5 * time.Second
+	// channelsOwn is the number of descriptors that this process needs.
+	channelsOwn = 6000
 )
 
 // onceRoute is the route that the second configuration has no more.
@@ -148,6 +151,10 @@
 // playManyChannels plays consumers that press: for some seconds they have more channels at one entry
 // host than its process has descriptors. Later a configuration drops a route.
 func playManyChannels(s *site, trouble bool) ([]string, error) {
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil || own.Cur < channelsOwn {
+		return nil, fmt.Errorf("the consumers need %d descriptors, there are %d: %w", channelsOwn, own.Cur, err)
+	}
 	u := &usual{s: s, runs: map[string]int{}, sent: map[string]time.Time{}, stop: make(chan struct{})}
 	for n := range 3 {
 		v, err := startServer(s, n, fmt.Sprintf("i-%d", n), "counter", "", 6, u.answer)
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -34,6 +34,7 @@
 	"spoiled-ids":     {playSpoiledIDs, rahbar},
 	"slow-stop":       {playSlowStop, rahbar},
 	"many-channels":   {playManyChannels, limited},
+	"cold-return":     {playColdReturn, swanfold},
 	"other-writer":    {playOtherWriter, rahbar},
 	"renamed-route":   {playRenamedRoute, rahbar},
 	"sent-tenant":     {playSentTenant, rahbar},
--- a/review/platform/server.go
+++ b/review/platform/server.go
@@ -20,6 +20,7 @@
 	service, model string
 	slots          int
 	born           int64
+	coldUntil      time.Time
 	lis            net.Listener
 	// answer answers one request; keep is false if the channel is to be closed.
 	answer func(x *exchange) (keep bool)
@@ -55,7 +56,12 @@
 const heartbeatInterval = 1200 * time.Millisecond
 
 func startServer(s *site, n int, id, service, model string, slots int, answer func(x *exchange) bool) (*server, error) {
-	v := &server{s: s, id: id, addr: s.addr("server", n, portServer), zone: zones[n%len(zones)], service: service, model: model, slots: slots,
+	return startServerCold(s, n, id, service, model, slots, 0, answer)
+}
+
+// startServerCold starts a server that is cold for some time.
+func startServerCold(s *site, n int, id, service, model string, slots int, cold time.Duration, answer func(x *exchange) bool) (*server, error) {
+	v := &server{coldUntil: time.Now().Add(cold), s: s, id: id, addr: s.addr("server", n, portServer), zone: zones[n%len(zones)], service: service, model: model, slots: slots,
 		born: time.Now().UnixMilli(), answer: answer, state: "ready", conns: map[net.Conn]bool{}}
 	lis, err := net.Listen("tcp", v.addr)
 	if err != nil {
@@ -195,7 +201,7 @@
 	v.mu.Lock()
 	v.seq++
 	body, _ := json.Marshal(map[string]any{"service": v.service, "addr": v.addr, "zone": v.zone, "version": "v1", "slots": v.slots, "state": v.state,
-		"cold_left_ms": 0, "stage": "prefill_decode", "models": json.RawMessage(v.models()), "seq": v.seq, "born": v.born})
+		"cold_left_ms": max(0, time.Until(v.coldUntil).Milliseconds()), "stage": "prefill_decode", "models": json.RawMessage(v.models()), "seq": v.seq, "born": v.born})
 	v.mu.Unlock()
 	for i := range v.s.size.control {
 		addr := v.s.controlAddrs()[(n+i)%v.s.size.control]
