Stop a run before an event that is not UTF-8, and return encoding errors

Callers saw batch calls unanswered for an election each time, and running items cut: store leaders ended one after the other.

Cause: the ID of an event went into the next checkpoint as it came from the engine. Command.Encode panics when a Protobuf string is not valid UTF-8, on the goroutine of the checkpoint, so one spoiled response ended the process, and the next leader met the next one.

Weighed: an event with bytes that are not UTF-8 is no part of any response (event streams are UTF-8), so the run ends there as interrupted and another engine goes on after the last event that was sound. Data was converted to UTF-8 before, which made a spoiled text a result for good; it is refused in the same way now. Making the field of type bytes was ruled out: members of an older build refuse such a command when they decode it.

Encode returns an error for whatever else may reach it: nothing is proposed that another member cannot decode, and an item whose result cannot be encoded is restarted.

--- a/internal/process/store/checkpoint.go
+++ b/internal/process/store/checkpoint.go
@@ -177,7 +177,7 @@
 // since each checkpoint continues the one before.
 func (d *driver) writeCheckpoint(ctx context.Context, w *pendingItem, x *batch.Checkpoint, text string, next checkpointPos, restarts int) {
 	defer w.checkpointing.Store(false)
-	chunk, err := deflate.Compress(strings.ToValidUTF8(text, "\uFFFD"))
+	chunk, err := deflate.Compress(text)
 	if err == nil {
 		x.Partial.Chunks = [][]byte{chunk}
 		ctx, cancel := context.WithTimeout(ctx, checkpointTimeout)
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -83,6 +83,7 @@
 // reset discards the progress of earlier runs.
 func (w *pendingItem) reset() {
 	w.progress, w.checkpointed, w.textStored = itemrun.Progress{}, checkpointPos{}, false
+	w.score = nil
 	w.restarts++
 }
 
--- a/internal/process/store/run.go
+++ b/internal/process/store/run.go
@@ -149,6 +149,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w.reset()
+	d.scores.Done(k)
 	d.queue.Requeue(k, true, time.Now())
 	d.wakeUp()
 }
@@ -167,7 +168,8 @@
 
 // commitResult commits a result. It retries until leadership is lost, also while this
 // process has no lease for a moment: no other process would commit the result, and
-// proposing it twice is harmless since only the first result of an item counts.
+// proposing it twice is harmless since only the first result of an item counts. An item whose
+// result cannot be encoded is restarted.
 func (d *driver) commitResult(ctx context.Context, k itemqueue.Key, w *pendingItem, r batch.Result, reason string) {
 	for n := 0; ; n++ {
 		tryCtx, cancel := context.WithTimeout(ctx, commitTimeout)
@@ -176,6 +178,11 @@
 		if err == nil {
 			break
 		}
+		var invalid *batch.EncodeError
+		if errors.As(err, &invalid) {
+			d.restart(k, w, err.Error())
+			return
+		}
 		if n == 0 {
 			d.s.log.WithError(err).WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item}).Warn("result not committed yet")
 		}
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -233,13 +233,17 @@
 	return errors.Join(err, inner)
 }
 
-// propose commits a command. A *NotLeaderError means that the command was definitely not
-// proposed.
+// propose commits a command. A *NotLeaderError or a *batch.EncodeError means that the command was
+// definitely not proposed.
 func (s *Server) propose(ctx context.Context, c *batch.Command) error {
 	if err := s.checkLeader(); err != nil {
 		return err
 	}
-	_, err := s.replica.Node().Propose(ctx, c.Encode())
+	data, err := c.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = s.replica.Node().Propose(ctx, data)
 	var notLeader *quorum.NotLeaderError
 	if errors.As(err, &notLeader) {
 		return &NotLeaderError{notLeader.Addr}
--- a/internal/request/batch/batch_test.go
+++ b/internal/request/batch/batch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -18,13 +19,57 @@
 }
 
 func apply(t interface{ Fatal(...any) }, s *Store, c *Command) Effect {
-	e, err := s.Apply(c.Encode())
+	data, err := c.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := s.Apply(data)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return e
 }
 
+// TestCommandsThatCannotBeEncoded guards against bytes from outside that end the process which
+// encodes them: each string in turn is not valid UTF-8.
+func TestCommandsThatCannotBeEncoded(t *testing.T) {
+	const bad = "\xb1\xb2"
+	item := func(x Item) *Command { return &Command{Accept: &Batch{ID: "b", Items: []Item{x}}} }
+	result := func(r Result) *Command { return &Command{AddResults: &AddResults{"b", []Result{r}}} }
+	checkpoint := func(p PartialResult) *Command {
+		return &Command{Checkpoint: &Checkpoint{Batch: "b", Item: "i", Partial: &p}}
+	}
+	workspace := bad
+	for name, c := range map[string]*Command{
+		"batch id":        {Accept: &Batch{ID: bad}},
+		"route":           {Accept: &Batch{ID: "b", Route: bad}},
+		"host":            {Accept: &Batch{ID: "b", Host: bad}},
+		"workspace":       {Accept: &Batch{ID: "b", Workspace: bad}},
+		"model":           {Accept: &Batch{ID: "b", Model: bad}},
+		"item id":         item(Item{ID: bad}),
+		"path":            item(Item{ID: "i", Path: bad}),
+		"header name":     item(Item{ID: "i", Headers: map[string]string{bad: "v"}}),
+		"header value":    item(Item{ID: "i", Headers: map[string]string{"n": bad}}),
+		"group":           item(Item{ID: "i", Group: bad}),
+		"scorer":          item(Item{ID: "i", Scorer: &Scorer{ID: bad}}),
+		"carried event":   item(Item{ID: "i", Partial: &PartialResult{LastEventID: bad}}),
+		"result":          result(Result{Item: bad}),
+		"text":            result(Result{Item: "i", Text: bad}),
+		"score":           result(Result{Item: "i", Score: bad}),
+		"event id":        checkpoint(PartialResult{LastEventID: bad}),
+		"software":        checkpoint(PartialResult{Software: bad}),
+		"end":             {End: bad},
+		"end's workspace": {End: "b", Workspace: &workspace},
+		"drop":            {Drop: []string{bad}},
+	} {
+		data, err := c.Encode()
+		var invalid *EncodeError
+		if !errors.As(err, &invalid) || data != nil {
+			t.Errorf("%s: encoded as %q, %v", name, data, err)
+		}
+	}
+}
+
 // TestResultPositionsAreStable adds and repeats results, ends batches and restores
 // snapshots at random. A result that was read must stay at its position, and no item may
 // have two results.
--- a/internal/request/batch/encoding.go
+++ b/internal/request/batch/encoding.go
@@ -22,8 +22,23 @@
 	maxBatchBytes = 256 << 20
 )
 
-// Encode returns the Protobuf encoding of a batch. It fails if a string is not valid UTF-8.
-func (b *Batch) Encode() ([]byte, error) { return proto.Marshal(b.toProto()) }
+// EncodeError reports a batch or command with a string that is not valid UTF-8.
+type EncodeError struct{ Err error }
+
+func (e *EncodeError) Error() string { return fmt.Sprintf("cannot encode: %v", e.Err) }
+
+func (e *EncodeError) Unwrap() error { return e.Err }
+
+func encode(m proto.Message) ([]byte, error) {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return nil, &EncodeError{err}
+	}
+	return data, nil
+}
+
+// Encode returns the Protobuf encoding of a batch. The error is an *EncodeError.
+func (b *Batch) Encode() ([]byte, error) { return encode(b.toProto()) }
 
 // Decode decodes the output of Encode.
 func Decode(data []byte) (*Batch, error) {
@@ -34,8 +49,10 @@
 	return fromProto(w), nil
 }
 
-// Encode returns the Protobuf encoding of a command. All strings must be valid UTF-8.
-func (c *Command) Encode() []byte {
+// Encode returns the Protobuf encoding of a command. The error is an *EncodeError: members of the
+// group that are older refuse to decode strings that are not valid UTF-8, so such a command must not
+// be proposed.
+func (c *Command) Encode() ([]byte, error) {
 	w := &batchlog.Command{End: c.End, Workspace: c.Workspace, Asked: c.Asked, Drop: c.Drop}
 	if x := c.Checkpoint; x != nil {
 		w.Save = &batchlog.Save{Batch: x.Batch, Item: x.Item, From: int64(x.Offset), Part: x.Partial.toProto()}
@@ -46,11 +63,7 @@
 	if c.AddResults != nil {
 		w.List = &batchlog.List{Batch: c.AddResults.Batch, Results: resultsToProto(c.AddResults.Results)}
 	}
-	data, err := proto.Marshal(w)
-	if err != nil {
-		panic(err) // decoded names are valid UTF-8, and texts are converted to it
-	}
-	return data
+	return encode(w)
 }
 
 // decodeCommand decodes the output of Command.Encode. Commands of the first release are
@@ -189,7 +202,7 @@
 func (s *Store) Save() []byte {
 	var out bytes.Buffer
 	if err := s.Freeze()(&out); err != nil {
-		panic(err) // writes to a bytes.Buffer do not fail
+		panic(err) // the buffer does not fail, and the strings were decoded from Protobuf or JSON
 	}
 	return out.Bytes()
 }
--- a/internal/request/itemrun/events.go
+++ b/internal/request/itemrun/events.go
@@ -8,6 +8,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // maxLineBytes is the maximum length of a line of a stream.
@@ -34,6 +35,9 @@
 	return &eventReader{br: bufio.NewReader(r), versionField: strings.ToLower(versionField)}
 }
 
+// errNotUTF8 reports an event that is not part of any response: event streams are UTF-8.
+var errNotUTF8 = errors.New("event is not valid UTF-8")
+
 // next returns the next complete event. io.EOF means that the stream ended between two
 // events.
 func (r *eventReader) next() (event, error) {
@@ -54,6 +58,9 @@
 			e.data = strings.Join(data, "\n")
 			return e, nil
 		}
+		if !utf8.ValidString(line) {
+			return event{}, errNotUTF8
+		}
 		e.lines++
 		name, value, _ := strings.Cut(line, ":")
 		value = strings.TrimPrefix(value, " ")
--- a/internal/request/itemrun/run.go
+++ b/internal/request/itemrun/run.go
@@ -85,11 +85,8 @@
 	Complete bool
 }
 
-// Text returns the text of the item. Invalid UTF-8 is replaced, as the specification of
-// event streams requires.
-func (p *Progress) Text() string {
-	return strings.ToValidUTF8(strings.Join(p.Data, "\n"), "\uFFFD")
-}
+// Text returns the text of the item, which is valid UTF-8.
+func (p *Progress) Text() string { return strings.Join(p.Data, "\n") }
 
 func (p *Progress) add(e event, version uint64) {
 	p.Data = append(p.Data, e.data)
--- a/internal/request/itemrun/run_test.go
+++ b/internal/request/itemrun/run_test.go
@@ -117,6 +117,8 @@
 		{"an incomplete event before the last chunk", chunked(3, false, one, "id: 2\ndata: b\n"), Interrupted, "a", "[3]"},
 		{"no length, clean end", unframed(one+two, "CLOSE"), Complete, "a\nb", "[3]"},
 		{"no length, reset", unframed(one, "RESET"), Interrupted, "", ""},
+		{"an event ID that is not UTF-8", chunked(3, false, one, "id: \xb2\ndata: b\n\n"), Interrupted, "a", "[3]"},
+		{"data that is not UTF-8", chunked(3, false, one, "id: 2\ndata: b\xff\n\n"), Interrupted, "a", "[3]"},
 		{"no version", strings.Replace(chunked(3, false, one), "X-Versions: 3\r\n", "", 1), Interrupted, "", "[]"},
 		{"another request's response", strings.Replace(chunked(3, false, one), "X-Versions", "X-Request: j\r\nX-Versions", 1), Interrupted, "", "[]"},
 		{"not run", "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", NotRun, "", "[]"},
