Take a score that is not UTF-8 for no score

The score of an item is a header of the scoring service, as it comes. One that is not UTF-8 ended the store leader in the encoding of the result; with the error that encoding returns now, the item ran again. The response has no score then, and the call is repeated.

--- a/internal/process/store/score.go
+++ b/internal/process/store/score.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
@@ -156,7 +157,8 @@
 	scoreStopped scoreEnd = "stopped"
 )
 
-// scoreOf returns how a call ended, and the score of a successful response.
+// scoreOf returns how a call ended, and the score of a successful response. Results are JSON, so
+// bytes that are not UTF-8 are no score.
 func (d *driver) scoreOf(ctx context.Context, res *forward.Response) (end scoreEnd, score string) {
 	switch {
 	case ctx.Err() != nil:
@@ -166,7 +168,7 @@
 	}
 	score = string(res.Response.Header.Peek(d.s.cfg.Headers.Signature))
 	switch status := res.Response.StatusCode(); {
-	case status >= 200 && status < 300 && score != "":
+	case status >= 200 && status < 300 && score != "" && utf8.ValidString(score):
 		return scored, score
 	case status == http.StatusInternalServerError:
 		return scoreFailed, ""
