Answer calls about batches whose ID no message can carry at once

Callers that named such a batch or item got 503 after 2.5 s: the call to the store group could not be encoded, which looked like a host that does not answer, so the search for the leader went on to its end.

--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -187,8 +187,12 @@
 	return errors.As(err, &e) && e.Code() == twirp.NotFound
 }
 
+// validID reports whether a batch or an item can have an ID: calls between processes carry only
+// valid UTF-8.
+func validID(id string) bool { return id != "" && utf8.ValidString(id) }
+
 // Submit stores a batch, once. The error is ErrNotStored if it is definitely not stored,
-// and ErrOutcomeUnknown if it may be. A batch whose caller has disconnected is not stored: this
+// ErrOutcomeUnknown if it may be, and a *batch.EncodeError if it never can be. A batch whose caller has disconnected is not stored: this
 // process may have been suspended since it received the batch, and the caller may have ended it.
 func (s *Server) Submit(ctx context.Context, x *batch.Batch, disconnected func() bool) error {
 	data, err := x.Encode()
@@ -221,6 +225,9 @@
 // of the batch, so that reads are spread over all hosts that store the batches, and asks
 // the leader if that host has no results.
 func (s *Server) Read(ctx context.Context, q *fleet.Position) (page *fleet.Page, err error) {
+	if !validID(q.Batch) {
+		return nil, ErrNoBatch
+	}
 	if page = s.readReplica(ctx, q); page != nil {
 		return page, nil
 	}
@@ -257,6 +264,9 @@
 
 // Body returns the body of an item that has no result yet.
 func (s *Server) Body(ctx context.Context, q *fleet.ItemKey) (data []byte, err error) {
+	if !validID(q.Batch) || !validID(q.Item) {
+		return nil, ErrNoBatch
+	}
 	o, err := s.stores.call(ctx, 0, func(ctx context.Context, c fleet.Batches) error {
 		x, err := c.Body(ctx, q)
 		data = x.GetData()
@@ -268,8 +278,8 @@
 // End ends a batch; its open items are not run any more. If the error is ErrOutcomeUnknown, the
 // end is delivered once the store group has a leader.
 func (s *Server) End(ctx context.Context, q *fleet.BatchKey) error {
-	if q.Batch == "" || !utf8.ValidString(q.Batch) {
-		return ErrNoBatch // it cannot be encoded, so no batch has this ID
+	if !validID(q.Batch) {
+		return ErrNoBatch
 	}
 	asked := time.Now()
 	o, err := s.stores.end(ctx, q)
--- a/internal/process/gateway/ends_test.go
+++ b/internal/process/gateway/ends_test.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/plantainbank/plantainbank/internal/process/feed"
+	"github.com/plantainbank/plantainbank/internal/request/batch"
 	"github.com/plantainbank/plantainbank/internal/request/endqueue"
 	"github.com/plantainbank/plantainbank/service/fleet"
 )
@@ -102,12 +103,32 @@
 	})
 }
 
-// TestEndWithoutValidID checks that an ID that cannot be encoded is answered at once.
-func TestEndWithoutValidID(t *testing.T) {
-	s := newTestServer(&storeGroup{})
-	for _, id := range []string{"", "\xff"} {
-		if err := s.End(context.Background(), &fleet.BatchKey{Batch: id}); !errors.Is(err, ErrNoBatch) || s.ends.queue.Len() != 0 {
-			t.Errorf("%q: %v, %d ends queued", id, err, s.ends.queue.Len())
+// TestCallsWithoutValidID guards against IDs that no message can carry: such calls took the whole
+// search for the store leader. They must be answered at once, and an end must not be queued.
+func TestCallsWithoutValidID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(&storeGroup{})
+		ctx, start := context.Background(), time.Now()
+		for _, id := range []string{"", "\xff"} {
+			if err := s.End(ctx, &fleet.BatchKey{Batch: id}); !errors.Is(err, ErrNoBatch) || s.ends.queue.Len() != 0 {
+				t.Errorf("end of %q: %v, %d ends queued", id, err, s.ends.queue.Len())
+			}
+			if _, err := s.Read(ctx, &fleet.Position{Batch: id}); !errors.Is(err, ErrNoBatch) {
+				t.Errorf("read of %q: %v", id, err)
+			}
+			if _, err := s.Body(ctx, &fleet.ItemKey{Batch: id, Item: "i"}); !errors.Is(err, ErrNoBatch) {
+				t.Errorf("body of an item of %q: %v", id, err)
+			}
 		}
-	}
+		if _, err := s.Body(ctx, &fleet.ItemKey{Batch: "b", Item: "\xff"}); !errors.Is(err, ErrNoBatch) {
+			t.Errorf("body of an item: %v", err)
+		}
+		var invalid *batch.EncodeError
+		if err := s.Submit(ctx, &batch.Batch{ID: "\xff"}, func() bool { return false }); !errors.As(err, &invalid) {
+			t.Errorf("submission: %v", err)
+		}
+		if took := time.Since(start); took > 0 {
+			t.Errorf("the calls took %v", took)
+		}
+	})
 }
