Keep a request ID that is not UTF-8 from blocking stream records

Hosts tell control where streams begin. A record with a request ID that is not UTF-8 cannot be encoded; it stayed the first to be told, so control learned of no stream of that host any more, and callers that took up streams elsewhere were refused. No caller can name such a stream to control, so it is not recorded.

--- a/internal/request/origin/client.go
+++ b/internal/request/origin/client.go
@@ -102,6 +102,9 @@
 	if o, ok := c.cfg.Table.Find(k); ok {
 		return o, nil
 	}
+	if !k.valid() {
+		return Origin{}, ErrUnknown
+	}
 	for settled := 0; ; {
 		a, err := c.ask(ctx, k, service)
 		switch {
--- a/internal/request/origin/table.go
+++ b/internal/request/origin/table.go
@@ -9,6 +9,7 @@
 import (
 	"sync"
 	"time"
+	"unicode/utf8"
 )
 
 // retention is how long the beginning of a stream is kept. A caller gives up a stream, with all its
@@ -58,8 +59,15 @@
 	}
 }
 
-// Add records where a stream has begun. The first record of a stream holds.
+// valid reports whether a message can carry the key.
+func (k Key) valid() bool { return utf8.ValidString(k.Workspace) && utf8.ValidString(k.Request) }
+
+// Add records where a stream has begun. The first record of a stream holds. A stream whose request
+// ID is not valid UTF-8 is not recorded: no caller can name it to take it up.
 func (t *Table) Add(k Key, o Origin, now time.Time) {
+	if !k.valid() {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, ok := t.all[k]; ok {
