Refuse announcements that no backend server can have sent

One odd entry stopped the fleet from following the roster. An announcement whose ID is not UTF-8 was taken with 200. Once it was removed, 40 s after its last announcement or 60 s after a departure, the leader's update named it among the removed ones, could not be encoded, and no host that had a roster of before got any update from that leader again.

Also taken were ports out of range, no slots or 2^63-1 of them, start times and sequence numbers that nothing can follow, times that a float64 holds but an integer does not (converted differently on arm64 and x86-64), 50,000 models, and IDs with line breaks, which are sent in headers.

Announcements and departures are checked when they are decoded. A leader that finds such an entry in the log, and a host that is sent one, leave it out and log it: an older version may have stored it. The entries of the others hold.

--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -180,7 +180,9 @@
 			inner = &NotLeaderError{Addr: addr}
 			return
 		}
-		s.leadership.loadRoster(s.catalog.Instances, s.catalog.Software)
+		for id, err := range s.leadership.loadRoster(s.catalog.Instances, s.catalog.Software) {
+			s.log.WithError(err).WithField("instance", id).Warn("stored instance dropped")
+		}
 		inner = f(s.leadership)
 	})
 	if err != nil {
--- a/internal/process/director/leadership.go
+++ b/internal/process/director/leadership.go
@@ -101,13 +101,17 @@
 
 // loadRoster loads the roster stored in the log. A process that has just been elected may
 // not have applied the log yet, so loading waits for the first call that needs the
-// leader.
-func (l *leadership) loadRoster(stored []roster.Instance, software []roster.Software) {
-	if !l.rosterLoaded {
-		l.rosterLoaded = true
-		l.roster.Load(stored, time.Now())
-		l.roster.LoadSoftware(software, time.Now())
+// leader. It returns what is wrong with the stored instances that no server can have, by ID: a leader
+// of an older version may have stored them.
+func (l *leadership) loadRoster(stored []roster.Instance, software []roster.Software) (invalid map[string]error) {
+	if l.rosterLoaded {
+		return nil
 	}
+	l.rosterLoaded = true
+	stored, invalid = roster.DropInvalid(stored)
+	l.roster.Load(stored, time.Now())
+	l.roster.LoadSoftware(software, time.Now())
+	return invalid
 }
 
 // waitedForAnnouncements reports whether announcementWait has passed since the start of
--- a/internal/process/director/update_test.go
+++ b/internal/process/director/update_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -14,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainbank/plantainbank/internal/process/catalog"
 	"github.com/plantainbank/plantainbank/internal/process/feed"
@@ -200,7 +202,7 @@
 			t.Fatal(err)
 		}
 	}
-	if err := l.Announce(t.Context(), roster.Instance{ID: "i", Service: "proofer", State: roster.Ready, Born: 1, Seq: 1}); err != nil {
+	if err := l.Announce(t.Context(), roster.Instance{ID: "i", Service: "proofer", Addr: "10.0.0.1:80", Slots: 4, State: roster.Ready, Born: 1, Seq: 1}); err != nil {
 		t.Fatal(err)
 	}
 	var n *fleet.News
@@ -275,7 +277,7 @@
 	ctx := t.Context()
 	announce := func(born int64, seq uint64) {
 		t.Helper()
-		x := roster.Instance{ID: "i", Service: "proofer", Addr: "10.0.0.1:80", Zone: "a", State: roster.Ready, Born: born, Seq: seq}
+		x := roster.Instance{ID: "i", Service: "proofer", Addr: "10.0.0.1:80", Zone: "a", Slots: 4, State: roster.Ready, Born: born, Seq: seq}
 		if err := l.Announce(ctx, x); err != nil {
 			t.Fatal(err)
 		}
@@ -318,3 +320,34 @@
 	report(5)
 	await("the server that has started again", roster.Ready, 6)
 }
+
+// TestInvalidInstanceStopsNoHost guards against a stored entry whose ID no message can carry: once it
+// was removed, the leader could answer no host that had the roster of before. A leader that finds odd
+// entries in the log, which an older version has stored, must leave them out.
+func TestInvalidInstanceStopsNoHost(t *testing.T) {
+	now := time.Now()
+	good := roster.Instance{ID: "good", Service: "proofer", Addr: "10.0.0.1:80", Zone: "a", Slots: 4, State: roster.Ready, Born: 1, Seq: 1}
+	odd := func(change func(x *roster.Instance)) roster.Instance {
+		x := good
+		x.ID = "odd"
+		change(&x)
+		return x
+	}
+	for name, x := range map[string]roster.Instance{
+		"id":    odd(func(x *roster.Instance) { x.ID = "\xff\xfe" }),
+		"port":  odd(func(x *roster.Instance) { x.Addr = "10.0.0.2:99999" }),
+		"slots": odd(func(x *roster.Instance) { x.Slots = math.MaxInt }),
+		"cold":  odd(func(x *roster.Instance) { x.ColdUntil = math.MaxInt64 }),
+	} {
+		l := newLeadership(1, now)
+		if invalid := l.loadRoster([]roster.Instance{x, good}, nil); len(invalid) != 1 || invalid[x.ID] == nil {
+			t.Errorf("%s: dropped %v", name, invalid)
+		}
+		revision := l.roster.Revision
+		l.roster.Expire(now.Add(time.Hour))
+		changed, removed, ok := l.roster.Since(revision, false)
+		if _, err := proto.Marshal(&fleet.News{Removed: removed}); err != nil || !ok || len(changed) > 0 || !slices.Equal(removed, []string{"good"}) {
+			t.Errorf("%s: removed %q, error %v", name, removed, err)
+		}
+	}
+}
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -347,7 +347,7 @@
 	if err := f.applyCatalog(n, &s); err != nil {
 		return err
 	}
-	if err := applyRoster(n, &s); err != nil {
+	if err := f.applyRoster(n, &s); err != nil {
 		return err
 	}
 	if f.cfg.Quarantine != nil && n.Quarantine > old.Quarantine {
@@ -412,8 +412,9 @@
 // maxRosterBytes bounds a roster once it is decompressed.
 const maxRosterBytes = 64 << 20
 
-// applyRoster applies a full copy of the roster, or the changes since the copy in s.
-func applyRoster(n *fleet.News, s *State) error {
+// applyRoster applies a full copy of the roster, or the changes since the copy in s. Entries that no
+// server can have are left out: the leader may be of an older version.
+func (f *Feed) applyRoster(n *fleet.News, s *State) error {
 	if len(n.Instances) == 0 || n.Roster <= s.Roster {
 		return nil
 	}
@@ -428,6 +429,10 @@
 	if err := json.Unmarshal(data, &instances); err != nil {
 		return fmt.Errorf("cannot decode the roster: %w", err)
 	}
+	instances, invalid := roster.DropInvalid(instances)
+	for id, err := range invalid {
+		f.cfg.Log.WithError(err).WithField("instance", id).Warn("instance dropped")
+	}
 	if n.Partial {
 		instances = roster.Merge(s.Instances, instances, n.Removed)
 	}
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -98,7 +98,7 @@
 
 func newUpdate(revision, version uint64) *fleet.News {
 	public, _ := json.Marshal(catalog.Public{Config: &routing.Config{Version: version}})
-	instances, _ := json.Marshal([]roster.Instance{{ID: "i"}})
+	instances, _ := json.Marshal([]roster.Instance{{ID: "i", Addr: "10.0.0.1:80", Slots: 4, State: roster.Ready}})
 	return &fleet.News{Term: 1, Catalog: revision, State: public, Roster: revision, Instances: instances, Lead: "store"}
 }
 
