Take up streams by a roster that is as new as the leader's only

A caller that takes up a stream at another host may be given events of another software version (ORDER).

A control leader that was just elected named the only software version in its copy of the roster, if it did not know the stream. That copy may be older than the roster of the host at which the stream began, at a server that has joined since.

A host that stood still or was cut off chose the server by its own roster. A server that started again under its ID with another version is still of the version before there, and Expect-Instance names the ID only. The leader's answer has its roster revision now; the host waits for that revision, at most as long as it waits for the answer, and refuses the stream otherwise. Leaders of the build before send none, which requires none.

--- a/internal/process/gateway/streams.go
+++ b/internal/process/gateway/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -20,6 +21,8 @@
 	// maxOriginWait is the longest time for which a request waits for the origin of the stream
 	// that it takes up; an election takes less.
 	maxOriginWait = time.Second
+	// rosterPollInterval is the interval between checks for a newer roster.
+	rosterPollInterval = 10 * time.Millisecond
 	// unknownOriginRetry is the Retry-After of a stream whose origin could not be found.
 	unknownOriginRetry = 500 * time.Millisecond
 )
@@ -51,7 +54,10 @@
 	first := string(h.Peek(s.cfg.Headers.Resumes))
 	now := time.Now()
 	until := now.Add(min(maxOriginWait, r.Deadline.Sub(now)/2))
-	o, err := s.originClient.Find(ctx, origin.Key{Workspace: r.Workspace, Request: first}, sole, until)
+	o, revision, err := s.originClient.Find(ctx, origin.Key{Workspace: r.Workspace, Request: first}, sole, until)
+	if err == nil {
+		err = s.awaitRoster(ctx, revision, until)
+	}
 	log := s.log.WithFields(logrus.Fields{"request": r.ID, "resumes": first, "route": r.Route.Name, "took_ms": time.Since(now).Milliseconds()})
 	if err != nil {
 		s.cfg.Scope.Counter("streams_not_taken_up").Inc(1)
@@ -67,3 +73,25 @@
 	r.Service, r.Software = o.Service, &o.Software
 	return nil
 }
+
+// outdatedRosterError reports that the roster of this host is older than that of the control leader.
+type outdatedRosterError struct{ has, needs uint64 }
+
+func (e *outdatedRosterError) Error() string {
+	return fmt.Sprintf("the roster of this host has revision %d, the leader's %d", e.has, e.needs)
+}
+
+// awaitRoster waits until this host has a revision of the roster, at most until the time given. A host
+// that stood still or was cut off takes a server for what it was before.
+func (s *Server) awaitRoster(ctx context.Context, revision uint64, until time.Time) error {
+	for {
+		has := s.feed.State().Roster
+		if has >= revision {
+			return nil
+		}
+		if ctx.Err() != nil || !time.Now().Add(rosterPollInterval).Before(until) {
+			return &outdatedRosterError{has, revision}
+		}
+		time.Sleep(rosterPollInterval)
+	}
+}
--- a/internal/request/origin/client.go
+++ b/internal/request/origin/client.go
@@ -95,21 +95,22 @@
 	return err
 }
 
-// Find returns where a stream has begun. service is the only service that its route allows, empty if
+// Find returns where a stream has begun, and the revision of the roster by which it may go on, zero if
+// it has begun at this host. service is the only service that its route allows, empty if
 // there are several. While no leader answers, or the leader may yet learn of the stream, it tries
 // again until the time given. The error is then that of the last call, or ErrUnknown.
-func (c *Client) Find(ctx context.Context, k Key, service string, until time.Time) (Origin, error) {
+func (c *Client) Find(ctx context.Context, k Key, service string, until time.Time) (o Origin, roster uint64, err error) {
 	if o, ok := c.cfg.Table.Find(k); ok {
-		return o, nil
+		return o, 0, nil
 	}
 	if !k.valid() {
-		return Origin{}, ErrUnknown
+		return Origin{}, 0, ErrUnknown
 	}
 	for settled := 0; ; {
 		a, err := c.ask(ctx, k, service)
 		switch {
 		case err == nil && a.Known:
-			return Origin{a.Service, a.Software}, nil
+			return Origin{a.Service, a.Software}, a.Roster, nil
 		case err == nil && a.Settled:
 			settled++
 		}
@@ -117,7 +118,7 @@
 			if err == nil {
 				err = ErrUnknown
 			}
-			return Origin{}, err
+			return Origin{}, 0, err
 		}
 		time.Sleep(retryDelay)
 	}
--- a/internal/request/origin/client_test.go
+++ b/internal/request/origin/client_test.go
@@ -52,7 +52,7 @@
 			t.Errorf("control was told of %v", leader.told)
 		}
 		start := time.Now()
-		if _, err := c.Find(ctx, Key{"w", "\xff"}, "s", start.Add(time.Second)); !errors.Is(err, ErrUnknown) || time.Since(start) > 0 {
+		if _, _, err := c.Find(ctx, Key{"w", "\xff"}, "s", start.Add(time.Second)); !errors.Is(err, ErrUnknown) || time.Since(start) > 0 {
 			t.Errorf("found after %v: %v", time.Since(start), err)
 		}
 	})
