Take late requests in a planned stop only if they must end before the host

In a planned stop of an entry host, in calm, requests that came 3.0 s to 3.5 s after SIGTERM on a kept connection were passed on and cut at 7 s with no answer (LOST), among them ones that may not be repeated.

Cause: the host took every request until its listener closed, whatever time the request might need, and what was still running at the end of the grace period lost its connection. The server for requests of other hosts was stopped after that of callers, with what was left of the same time.

A pure decision (package grace) admits a request in the last part of the grace period only if its deadline is before the host's last answer. Shortly before the exit all calls of callers are canceled: requests get 502, which promises nothing, calls about batches 503, submissions what is true of them.

--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -203,6 +203,10 @@
 		s.log.WithField("batch", x.ID).Info("batch dropped, its caller has disconnected")
 		return ErrNotStored
 	}
+	if ctx.Err() != nil {
+		s.log.WithField("batch", x.ID).WithError(context.Cause(ctx)).Info("batch refused")
+		return ErrNotStored
+	}
 	o, err := s.stores.call(ctx, 0, func(ctx context.Context, c fleet.Batches) error {
 		_, err := c.Submit(ctx, &fleet.Submission{Id: x.ID, Batch: data})
 		return err
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,6 +20,7 @@
 	"github.com/plantainbank/plantainbank/internal/connection/placement"
 	"github.com/plantainbank/plantainbank/internal/connection/ratelimit"
 	"github.com/plantainbank/plantainbank/internal/process/feed"
+	"github.com/plantainbank/plantainbank/internal/process/grace"
 	"github.com/plantainbank/plantainbank/internal/process/permit"
 	"github.com/plantainbank/plantainbank/internal/request/forward"
 	"github.com/plantainbank/plantainbank/internal/request/origin"
@@ -81,7 +83,11 @@
 	// toldTerm is the term of the control leader that was told of origins. It belongs to the feed's
 	// goroutine.
 	toldTerm uint64
-	leaving  atomic.Bool
+	// period is nil until the host is told to stop. work ends shortly before its end: what then runs
+	// for callers is canceled by stopWork, so that it gets an answer.
+	period   atomic.Pointer[grace.Period]
+	work     context.Context
+	stopWork context.CancelCauseFunc
 	// stateKnown is closed once a configuration and the roster are known.
 	stateKnown     chan struct{}
 	stateKnownOnce sync.Once
@@ -91,6 +97,7 @@
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, log: cfg.Log, table: placement.NewTable(), usage: newUsage(cfg.Site.Bounds.Window.Duration()),
 		quarantine: quarantine.NewTable(maxQuarantineRecords), origins: origin.NewTable(maxStreamRecords), stateKnown: make(chan struct{}), gate: links.NewGate()}
+	s.work, s.stopWork = context.WithCancelCause(context.Background())
 	s.table.Zone = cfg.Site.Zone
 	s.table.Connected = cfg.Servers.Idle
 	guard := quarantine.NewGuard(quarantine.GuardConfig{Table: s.quarantine, Log: cfg.Log, Scope: cfg.Scope,
@@ -145,21 +152,29 @@
 // SetSeeds replaces the seed addresses after the settings have changed.
 func (s *Server) SetSeeds(seeds []string) { s.feed.SetSeeds(seeds) }
 
-// Leave makes the host unready and reports that to the control leader.
-func (s *Server) Leave() {
-	s.leaving.Store(true)
+// errStopping is the cancellation cause of what still runs when the host ends.
+var errStopping = errors.New("this host is stopping")
+
+// Leave makes the host unready and reports that to the control leader. From now on requests are
+// admitted only as the grace period allows.
+func (s *Server) Leave(p *grace.Period) {
+	s.period.Store(p)
 	s.feed.ReportNow()
+	time.AfterFunc(time.Until(p.LastAnswer()), func() { s.stopWork(errStopping) })
 }
 
+// Work returns the context of the calls of callers. It ends when the host is about to exit.
+func (s *Server) Work() context.Context { return s.work }
+
 // AwaitEnds waits until the ends of batches that callers have asked for are delivered, or ctx
 // ends.
 func (s *Server) AwaitEnds(ctx context.Context) { s.ends.await(ctx) }
 
 // Leaving reports whether the host is shutting down.
-func (s *Server) Leaving() bool { return s.leaving.Load() }
+func (s *Server) Leaving() bool { return s.period.Load() != nil }
 
 // Ready reports whether the load balancer may send requests to this host.
-func (s *Server) Ready() bool { return s.feed.State().Table != nil && !s.leaving.Load() }
+func (s *Server) Ready() bool { return s.feed.State().Table != nil && !s.Leaving() }
 
 // State returns the current copy of the control state.
 func (s *Server) State() *feed.State { return s.feed.State() }
@@ -192,7 +207,7 @@
 
 func (s *Server) fillReport(q *fleet.Report) {
 	q.Host = &fleet.Host{Name: s.cfg.Site.Host, Zone: s.cfg.Site.Zone, Addr: s.cfg.Site.InternalAddr()}
-	q.Leaving, q.Unlinked = s.leaving.Load(), s.links.Lost()
+	q.Leaving, q.Unlinked = s.Leaving(), s.links.Lost()
 	q.Usage = s.usage.report()
 	s.unreported.Store(false)
 	now := time.Now()
@@ -212,8 +227,18 @@
 // hasContact reports whether the control leader has answered recently.
 func (s *Server) hasContact() bool { return time.Since(s.feed.State().LastContact) < contactTimeout }
 
-// Forward sends a request to a backend server.
+// stoppingRetry is the Retry-After of requests that a host refuses since it stops. Another host can
+// serve them at once.
+const stoppingRetry = 10 * time.Millisecond
+
+// Forward sends a request to a backend server, unless this host stops before it must have ended.
 func (s *Server) Forward(ctx context.Context, r *forward.Request) *forward.Response {
+	if !s.period.Load().Admits(r.Deadline, time.Now()) {
+		s.cfg.Scope.Counter("refused_stopping").Inc(1)
+		s.log.WithFields(logrus.Fields{"request": r.ID, "route": r.Route.Name, "left_ms": time.Until(r.Deadline).Milliseconds()}).
+			Info("request refused, this host stops before it must have ended")
+		return &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: stoppingRetry, Reason: errStopping.Error()}
+	}
 	if refused := s.takeUp(ctx, r); refused != nil {
 		return refused
 	}
--- a/internal/request/forward/refusal.go
+++ b/internal/request/forward/refusal.go
@@ -26,7 +26,7 @@
 	case s.sent == 0:
 		return &Response{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterDelay, Reason: "no server could take it"}
 	case ctx.Err() != nil:
-		return &Response{Status: http.StatusBadGateway, Reason: "the caller has left"}
+		return &Response{Status: http.StatusBadGateway, Reason: "canceled: " + context.Cause(ctx).Error()}
 	case time.Until(s.Deadline) <= 2*responseMargin:
 		return &Response{Status: http.StatusGatewayTimeout, Reason: "out of time"}
 	}
