--- a/internal/process/grace/grace.go
+++ b/internal/process/grace/grace.go
@@ -18,8 +18,10 @@
 const (
 	// lateAfter is the time after the signal from which a request must end before the host does.
 	lateAfter = 2500 * time.Millisecond
-	// exitMargin is the part of the grace period that is left for the process to exit.
+	// exitMargin is the longest part of the grace period that is left for the process to exit, and
+	// exitShare its share of a short one: what still runs is not cut before the last sixth.
 	exitMargin = time.Second
+	exitShare  = 8
 	// answerMargin is the time before the exit in which the last answers are sent.
 	answerMargin = 150 * time.Millisecond
 )
@@ -31,7 +33,9 @@
 }
 
 // Exit returns the time at which the host cuts what is still running.
-func (p *Period) Exit() time.Time { return p.Start.Add(p.Length - exitMargin) }
+func (p *Period) Exit() time.Time {
+	return p.Start.Add(p.Length - min(exitMargin, p.Length/exitShare))
+}
 
 // LastAnswer returns the time by which every request that is not a stream has an answer.
 func (p *Period) LastAnswer() time.Time { return p.Exit().Add(-answerMargin) }
