Let an item set none of the headers that the system sets

An item whose headers named a workspace in other letters reached the engine with that value first and the system's second (UNASKED). Runs turn the normalizing of names off, and Set replaces a header of the same spelling only. One that named the request ID so ran under it and got no result.

Names are compared regardless of case now. What the system sets, what belongs to one connection, the host and a key are left out of an item's headers.

Before, TestItemSetsNoHeaderOfTheSystem: the engine ran the item as request "foreign". After: passes.

--- a/internal/connection/httpheader/httpheader.go
+++ b/internal/connection/httpheader/httpheader.go
@@ -3,6 +3,15 @@
 // requests, so that no platform's header names are fixed in the code of the service.
 package httpheader
 
+import (
+	"slices"
+	"strings"
+)
+
+// reserved lists the headers of one connection, and those that a server must not get from a caller.
+var reserved = []string{"Authorization", "Connection", "Content-Length", "Host", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade"}
+
 // Names are the header names of a site. An empty name means that the site does not use
 // the header.
 type Names struct {
@@ -37,3 +46,11 @@
 	// request takes up.
 	Resumes string
 }
+
+// Reserved reports whether a header of an item's request is set by the system only, whatever its
+// caller says. Names are compared regardless of case, as HTTP does.
+func (n Names) Reserved(name string) bool {
+	same := func(x string) bool { return x != "" && strings.EqualFold(x, name) }
+	return slices.ContainsFunc([]string{n.RequestID, n.Instance, n.Workspace, n.LastEventID}, same) ||
+		slices.ContainsFunc(reserved, same)
+}
--- a/internal/request/itemrun/run.go
+++ b/internal/request/itemrun/run.go
@@ -202,7 +202,9 @@
 	req.Header.SetRequestURI(item.Path)
 	req.Header.SetHost(b.Host)
 	for k, v := range item.Headers {
-		req.Header.Set(k, v)
+		if !r.Headers.Reserved(k) {
+			req.Header.Set(k, v)
+		}
 	}
 	req.Header.Set(r.Headers.RequestID, item.ID)
 	req.Header.Set(r.Headers.Instance, slot.ID)
--- a/internal/request/itemrun/run_test.go
+++ b/internal/request/itemrun/run_test.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -248,6 +250,29 @@
 	}
 }
 
+// TestItemSetsNoHeaderOfTheSystem guards against an item whose headers name another workspace in other
+// letters: the engine got them beside the system's, and first.
+func TestItemSetsNoHeaderOfTheSystem(t *testing.T) {
+	var got *http.Request
+	addr, _ := startEngine(t, func(r *http.Request) string {
+		got = r
+		return chunked(3, false, "id: 1\ndata: x\n\n")
+	})
+	item := batch.Item{ID: "i", Path: "/x", Body: []byte("body"), Headers: map[string]string{"X-Kept": "1", "x-workspace": "foreign",
+		"X-WORKSPACE": "foreign", "x-request": "foreign", "x-instance": "foreign", "last-event-id": "9", "host": "foreign",
+		"authorization": "Bearer k", "connection": "close", "content-length": "2", "transfer-encoding": "chunked"}}
+	r := &Runner{Client: attempt.NewClient(), Headers: headers}
+	res := r.Run(context.Background(), placement.Slot{ID: "e", Addr: addr}, &batch.Batch{Host: "h", Workspace: "w"}, item, &Progress{}, func() {})
+	if res.Outcome != Complete {
+		t.Fatalf("got %+v", res)
+	}
+	want := http.Header{"X-Kept": {"1"}, "X-Workspace": {"w"}, "X-Request": {"i"}, "X-Instance": {"e"}, "Content-Length": {"4"},
+		"Content-Type": got.Header["Content-Type"]}
+	if !maps.EqualFunc(got.Header, want, slices.Equal) || got.Host != "h" || got.ContentLength != 4 {
+		t.Errorf("the engine got host %s, headers %v, want %v", got.Host, got.Header, want)
+	}
+}
+
 // TestDoubledFailureCountsOnce sends the failure of an item twice, the second time where the response
 // to its next run is expected.
 func TestDoubledFailureCountsOnce(t *testing.T) {
