Let an announcement of another writer take no server away

Accepted items were never run: an announcement that named a service of no configuration and the address of a worker, with a later start time, made that worker gone for a minute, and its own announcements did not bring it back. One under a worker's own ID with another service replaced it in the same way.

An announcement of a service that is not in the configuration is refused with 400, which names the field, unless the instance had that service before. An instance that was heard of in the last 5 s holds its ID against another service.

Before: TestAnnouncementOfAnUnknownService: the roster has i in state gone; TestIDOfAnotherService: got service another. Not covered: a report of a known service, at the ID or address of a worker, with a start time that is later than its own.

--- a/internal/process/director/operator.go
+++ b/internal/process/director/operator.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -69,9 +71,15 @@
 	entry.Info(what)
 }
 
-// Announce records an announcement of a backend server.
+// Announce records an announcement of a backend server. The error is a *routing.FieldError if its
+// service is not in the configuration: such an announcement comes from another writer, or from a server
+// that is ahead of the configuration and will announce itself again.
 func (s *Server) Announce(ctx context.Context, x roster.Instance) error {
 	return s.onLeader(ctx, func(l *leadership) error {
+		if !s.knowsService(l, &x) {
+			s.log.WithFields(logrus.Fields{"instance": x.ID, "service": x.Service, "addr": x.Addr}).Info("announcement of an unknown service refused")
+			return &routing.FieldError{Field: "service", Problem: fmt.Sprintf("%q is not in the configuration", x.Service)}
+		}
 		before, beforeRouting := l.roster.Revision, l.roster.RoutingRevision
 		newer := l.roster.Announce(x, time.Now())
 		if newer {
@@ -82,6 +90,17 @@
 	})
 }
 
+// knowsService reports whether an announcement names a service of the configuration, or one that the
+// instance had before the service was removed.
+func (s *Server) knowsService(l *leadership, x *roster.Instance) bool {
+	c := s.catalog.Public.Config
+	if c == nil || slices.ContainsFunc(c.Services, func(v routing.Service) bool { return v.Name == x.Service }) {
+		return true
+	}
+	current, ok := l.roster.Get(x.ID)
+	return ok && current.Service == x.Service
+}
+
 // Depart records that a backend server leaves.
 func (s *Server) Depart(ctx context.Context, id string, born int64) error {
 	return s.onLeader(ctx, func(l *leadership) error {
--- a/internal/process/director/update_test.go
+++ b/internal/process/director/update_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -351,3 +352,32 @@
 		}
 	}
 }
+
+// TestAnnouncementOfAnUnknownService guards against another writer that names a service of no
+// configuration and the address of a server: the server must not be taken for gone.
+func TestAnnouncementOfAnUnknownService(t *testing.T) {
+	l := startLeader(t)
+	ctx := t.Context()
+	if err := l.PutConfig(ctx, nil, largeConfig(1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	server := roster.Instance{ID: "i", Service: "proofer", Addr: "10.0.0.1:80", Zone: "a", Slots: 4, State: roster.Ready, Born: 1, Seq: 1}
+	odd := server
+	odd.ID, odd.Service, odd.Born = "w", "another", 1<<40
+	if err := l.Announce(ctx, server); err != nil {
+		t.Fatal(err)
+	}
+	var invalid *routing.FieldError
+	if err := l.Announce(ctx, odd); !errors.As(err, &invalid) || invalid.Field != "service" {
+		t.Errorf("the odd announcement: %v", err)
+	}
+	err := l.onLeader(ctx, func(l *leadership) error {
+		if all := l.roster.All(); len(all) != 1 || all[0].State != roster.Ready {
+			t.Errorf("the roster has %+v", all)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -26,6 +26,9 @@
 	// goneRetention is how long a departed instance is retained. It exceeds the 12 s by
 	// which a call may be delayed.
 	goneRetention = 60 * time.Second
+	// serviceHold is how long after its latest announcement an instance holds its ID against one of
+	// another service, which comes from another writer: a server keeps its service.
+	serviceHold = 5 * time.Second
 )
 
 // Instance is one incarnation of a backend server. A server that restarts keeps its ID
@@ -106,7 +109,7 @@
 // entry.
 func (t *Table) Announce(x Instance, now time.Time) bool {
 	current := t.all[x.ID]
-	if current != nil && !newer(&x, &current.Instance) {
+	if current != nil && (!newer(&x, &current.Instance) || current.holdsAgainst(&x, now)) {
 		return false
 	}
 	t.displace(x, now)
@@ -170,6 +173,11 @@
 	return x.Seq > current.Seq
 }
 
+// holdsAgainst reports whether an announcement of another service under the same ID is ignored.
+func (e *entry) holdsAgainst(x *Instance, now time.Time) bool {
+	return e.State != Gone && e.Service != x.Service && now.Sub(e.lastContact) < serviceHold
+}
+
 // displace marks older instances at the address of a new one as gone.
 func (t *Table) displace(x Instance, now time.Time) {
 	if x.State == Gone || x.Addr == "" {
--- a/internal/process/roster/roster_test.go
+++ b/internal/process/roster/roster_test.go
@@ -53,6 +53,36 @@
 	}
 }
 
+// TestIDOfAnotherService guards against an announcement of another writer under the ID of a server: the
+// server holds its ID as long as it announces itself, also when the other start time is later.
+func TestIDOfAnotherService(t *testing.T) {
+	odd := announcement("i", "b", 1<<50, 1, Ready)
+	odd.Service = "another"
+	for _, c := range []struct {
+		name    string
+		silence time.Duration
+		state   State
+		want    string
+	}{
+		{"between two announcements", time.Second, Ready, "p"},
+		{"while it drains", time.Second, Draining, "p"},
+		{"after it has departed", time.Second, Gone, "another"},
+		{"after it has been silent", 6 * time.Second, Ready, "another"},
+	} {
+		table := New(0)
+		table.Announce(announcement("i", "a", 1, 1, Ready), start)
+		if c.state == Gone {
+			table.Depart("i", 1, start)
+		} else {
+			table.Announce(announcement("i", "a", 1, 2, c.state), start)
+		}
+		table.Announce(odd, start.Add(c.silence))
+		if got, _ := table.Get("i"); got.Service != c.want {
+			t.Errorf("%s: got %+v", c.name, got)
+		}
+	}
+}
+
 func TestAddressIsUsedAgain(t *testing.T) {
 	table := New(0)
 	table.Announce(announcement("old", "a", 1, 1, Ready), start)
