Find the route of a batch's items also under another name

Items that failed at each run were run without end and got no result, once a configuration had given their route another name (BUDGET). A run found its route by host and path then, but the bound on failures, and the rule on several weight versions, looked it up by the name only.

All three use one lookup now: the route with the batch's name, if it is still at the batch's host, and the one that has its host and path otherwise.

Before, TestRenamedRouteBoundsItsItems: another name: exhausted false; its name at another host: exhausted true. After: passes.

--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -18,6 +18,7 @@
 	"github.com/plantainbank/plantainbank/internal/request/itemqueue"
 	"github.com/plantainbank/plantainbank/internal/request/itemrun"
 	"github.com/plantainbank/plantainbank/internal/request/scorequeue"
+	"github.com/plantainbank/plantainbank/internal/version/routing"
 	"github.com/plantainbank/plantainbank/pkg/process/quorum"
 )
 
@@ -379,16 +380,22 @@
 	software string
 }
 
-// startRun runs an item if an engine has a free slot for it. The caller holds d.mu.
-func (d *driver) startRun(ctx context.Context, k itemqueue.Key, w *pendingItem, full map[requirementKey]bool, now time.Time) {
-	route := d.state.Table.RouteByName(w.batch.Route)
-	if route == nil {
-		route = d.state.Table.Route(w.batch.Host, w.item.Path)
+// routeOf returns the route of an item, or nil: the one of its batch, or the one that has its host and
+// path now, since a configuration may give a route another name. The caller holds d.mu.
+func (d *driver) routeOf(w *pendingItem) *routing.Route {
+	if d.state.Table == nil {
+		return nil
 	}
-	if route == nil {
-		return
+	if r := d.state.Table.RouteByName(w.batch.Route); r != nil && (r.Host == w.batch.Host || w.batch.Host == "") {
+		return r
 	}
-	if d.awaitsProgress(w) {
+	return d.state.Table.Route(w.batch.Host, w.item.Path)
+}
+
+// startRun runs an item if an engine has a free slot for it. The caller holds d.mu.
+func (d *driver) startRun(ctx context.Context, k itemqueue.Key, w *pendingItem, full map[requirementKey]bool, now time.Time) {
+	route := d.routeOf(w)
+	if route == nil || d.awaitsProgress(w) {
 		return
 	}
 	if w.runs == 0 {
--- a/internal/process/store/run.go
+++ b/internal/process/store/run.go
@@ -71,10 +71,7 @@
 func (d *driver) exhausted(w *pendingItem) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.state.Table == nil {
-		return false
-	}
-	route := d.state.Table.RouteByName(w.batch.Route)
+	route := d.routeOf(w)
 	return route != nil && w.failures >= max(1, route.MaxAttempts)
 }
 
@@ -135,10 +132,7 @@
 func (d *driver) singleVersion(w *pendingItem) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.state.Table == nil {
-		return false
-	}
-	route := d.state.Table.RouteByName(w.batch.Route)
+	route := d.routeOf(w)
 	return route != nil && route.SingleVersion
 }
 
