Acknowledge a departure once the log has it

A departure that was acknowledged up to a second before all control processes were killed was forgotten, and the server got requests again (DRAIN). The leader acknowledged from its memory and wrote the roster to the log once a second.

Depart returns when the log has the roster with the departure; departures that come together share a write, and writes go one after the other, so that an older copy never replaces a newer one. If the leadership changes meanwhile, the server is sent on to the next leader, which may not know.

Before, TestDepartureIsInTheLog with the wait taken out: i-4: the log has []. After: passes.

--- a/internal/process/director/operator.go
+++ b/internal/process/director/operator.go
@@ -101,14 +101,26 @@
 	return ok && current.Service == x.Service
 }
 
-// Depart records that a backend server leaves.
+// Depart records that a backend server leaves. When it returns, the log has that: a server may leave
+// without another word, and must get no requests from a leader that has just started either.
 func (s *Server) Depart(ctx context.Context, id string, born int64) error {
-	return s.onLeader(ctx, func(l *leadership) error {
+	var leads *leadership
+	var revision uint64
+	err := s.onLeader(ctx, func(l *leadership) error {
 		before, beforeRouting := l.roster.Revision, l.roster.RoutingRevision
 		l.roster.Depart(id, born, time.Now())
 		s.rosterChanged(l, before, beforeRouting, id, string(roster.Gone), true)
+		leads, revision = l, l.roster.Revision
 		return nil
 	})
+	if err != nil {
+		return err
+	}
+	if err := s.awaitSaved(ctx, leads, revision); err != nil {
+		s.log.WithError(err).WithField("instance", id).Warn("departure not acknowledged, it is not in the log yet")
+		return err
+	}
+	return nil
 }
 
 // recordLeaving records the servers that have told a host in responses that they leave.
--- a/internal/process/director/tasks.go
+++ b/internal/process/director/tasks.go
@@ -71,7 +71,14 @@
 // saveRoster writes the roster to the log, so that the next leader starts with it even if
 // all processes have ended.
 func (s *Server) saveRoster(ctx context.Context, l *leadership, now time.Time) {
-	if l.saving || l.savedRevision == l.roster.Revision || now.Sub(l.savedAt) < saveRosterInterval || !s.rosterReady(l, now) {
+	if now.Sub(l.savedAt) >= saveRosterInterval && s.rosterReady(l, now) {
+		s.saveRosterNow(ctx, l)
+	}
+}
+
+// saveRosterNow starts a write of the roster, unless one is under way or the log has this revision.
+func (s *Server) saveRosterNow(ctx context.Context, l *leadership) {
+	if l.saving || l.savedRevision == l.roster.Revision {
 		return
 	}
 	l.saving = true
@@ -92,6 +99,32 @@
 	}()
 }
 
+// savePollInterval is the interval between checks whether the roster is in the log.
+const savePollInterval = 2 * time.Millisecond
+
+// awaitSaved waits until the log has a revision of the roster of a leadership.
+func (s *Server) awaitSaved(ctx context.Context, of *leadership, revision uint64) error {
+	for saved := false; ; {
+		err := s.onLeader(ctx, func(l *leadership) error {
+			if l != of {
+				return &NotLeaderError{} // it may not know what the former leadership was told
+			}
+			if saved = l.savedRevision >= revision; !saved {
+				s.saveRosterNow(context.WithoutCancel(ctx), l)
+			}
+			return nil
+		})
+		if err != nil || saved {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(savePollInterval):
+		}
+	}
+}
+
 // mayAct reports whether this leadership may act: its token is committed to the log, its delay
 // has passed, and no call was rejected for an outdated token within the last lease duration. It
 // starts establishing the leadership if that is not under way.
--- a/internal/process/director/update_test.go
+++ b/internal/process/director/update_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainbank/plantainbank/internal/process/catalog"
@@ -381,3 +382,39 @@
 		t.Fatal(err)
 	}
 }
+
+// TestDepartureIsInTheLog guards against a departure that is acknowledged and forgotten, since all
+// control processes end before the roster is next saved.
+func TestDepartureIsInTheLog(t *testing.T) {
+	l := startLeader(t)
+	ctx := t.Context()
+	for i := range 5 {
+		x := roster.Instance{ID: fmt.Sprint("i-", i), Service: "proofer", Addr: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "a", Slots: 4,
+			State: roster.Ready, Born: 1, Seq: 1}
+		if err := l.Announce(ctx, x); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var g errgroup.Group
+	for i := range 5 {
+		g.Go(func() error {
+			id := fmt.Sprint("i-", i)
+			if err := l.Depart(ctx, id, 1); err != nil {
+				return err
+			}
+			return l.do(ctx, func() {
+				at := slices.IndexFunc(l.catalog.Instances, func(x roster.Instance) bool { return x.ID == id })
+				if at < 0 || l.catalog.Instances[at].State != roster.Gone {
+					t.Errorf("%s: the log has %+v", id, l.catalog.Instances)
+				}
+			})
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	if err := l.Depart(ctx, "i-1", 1); err != nil || time.Since(start) > time.Second {
+		t.Errorf("a repeated departure: %v after %v", err, time.Since(start))
+	}
+}
