Share one allowance of a cold server among all that send to it

Engines that came back cold got more requests in a second than they bear (FAILBACK), where a route leads callers to the engines of a batch route: the leader of the store group took 0.8 of the rate for items, all entry hosts together another 0.8, and each host began with a credit of one request.

A service of both kinds of route is shared in halves now, by the configuration that all hosts have. All hosts together begin with a credit of four.

Before, TestColdRateLimitOfASharedService: 30 requests in a second, 26 are allowed. After: passes.

--- a/internal/connection/placement/cold.go
+++ b/internal/connection/placement/cold.go
@@ -7,6 +7,9 @@
 // hosts that do not know of each other.
 const coldRateShare = 0.8
 
+// coldBurst is the number of requests with which all hosts together begin at a cold server.
+const coldBurst = 4
+
 // cold reports whether a server is cold, and refills its credit if it is. A server
 // that failed may have restarted without this host knowing, so it counts as cold
 // for as long as a newly started one.
@@ -23,7 +26,11 @@
 	if !reportedCold && !assumedCold {
 		return false
 	}
-	t.refillCredit(s, service.ColdRate, now)
+	rate := service.ColdRate
+	if t.services.Shared(s.Service) {
+		rate /= 2 // the entry hosts take one half, the leader of the store group the other
+	}
+	t.refillCredit(s, rate, now)
 	return true
 }
 
@@ -32,7 +39,7 @@
 func (t *Table) refillCredit(s *server, rate float64, now time.Time) {
 	hostRate := rate * coldRateShare / float64(t.hosts)
 	if s.creditedAt.IsZero() {
-		s.credit = 1
+		s.credit = min(1, coldBurst/float64(t.hosts))
 	} else {
 		s.credit += hostRate * now.Sub(s.creditedAt).Seconds()
 	}
--- a/internal/connection/placement/table_test.go
+++ b/internal/connection/placement/table_test.go
@@ -217,6 +217,50 @@
 	}
 }
 
+// TestColdRateLimitOfASharedService guards against two allowances for one server: the entry hosts send
+// plain requests to it, the leader of the store group items of batches.
+func TestColdRateLimitOfASharedService(t *testing.T) {
+	const entryHosts, rate = 9, 14.0
+	all := servers(1)
+	all[0].ColdUntil = start.Add(3 * time.Second).UnixMilli()
+	targets := []routing.Target{{Service: "p", Weight: 1}}
+	config := routing.NewTable(&routing.Config{Services: []routing.Service{{Name: "p", ColdStart: 3 * time.Second, ColdRate: rate}},
+		Routes: []routing.Route{{Name: "items", Host: "h", Prefix: "/i/", Kind: routing.Batch, Targets: targets},
+			{Name: "plain", Host: "h", Prefix: "/p/", Kind: routing.Idempotent, Targets: targets}}})
+	var tables []*Table
+	for i := range entryHosts + 1 {
+		tab := NewTable()
+		hosts := entryHosts
+		if i == entryHosts {
+			hosts = 1 // the leader of the store group
+		}
+		tab.Update(all, nil, config, hosts)
+		tables = append(tables, tab)
+	}
+	var sent []time.Time
+	for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		for _, tab := range tables {
+			if slot, ok := tab.Take(Requirement{Service: "p"}, now); ok {
+				sent = append(sent, now)
+				tab.Done(slot, Served, 0, now)
+			}
+		}
+	}
+	most := 0
+	for i, at := range sent {
+		n := 0
+		for _, x := range sent[i:] {
+			if x.Sub(at) < time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	if float64(most) > rate*1.5+5 || len(sent) < 25 {
+		t.Fatalf("%d requests in a second, %d in 3 s", most, len(sent))
+	}
+}
+
 func TestPreferredServerYieldsToLoad(t *testing.T) {
 	tab := table(servers(3), routing.Service{})
 	for range 2 {
--- a/internal/version/routing/table.go
+++ b/internal/version/routing/table.go
@@ -14,15 +14,28 @@
 	workspaceByKey map[string]*Workspace
 	// priorities holds the priorities of the workspaces that have one.
 	priorities map[string]int
+	// shared holds the services of both batch routes and other routes.
+	shared map[string]bool
 }
 
 // NewTable indexes a configuration that passed Check.
 func NewTable(c *Config) *Table {
 	t := &Table{Config: c, byHost: map[string][]*Route{}, services: map[string]*Service{}, workspaceByKey: map[string]*Workspace{},
-		priorities: map[string]int{}}
+		priorities: map[string]int{}, shared: map[string]bool{}}
+	batches, others := map[string]bool{}, map[string]bool{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		for _, x := range r.Targets {
+			if x.Weight > 0 {
+				users := others
+				if r.Kind == Batch {
+					users = batches
+				}
+				users[x.Service] = true
+				t.shared[x.Service] = batches[x.Service] && others[x.Service]
+			}
+		}
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -64,6 +77,9 @@
 // Service returns the service with a name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Shared reports whether items of batches and other requests are sent to a service, by different hosts.
+func (t *Table) Shared(service string) bool { return t.shared[service] }
+
 // WorkspaceByKey returns the workspace that has a key, or nil.
 func (t *Table) WorkspaceByKey(key string) *Workspace { return t.workspaceByKey[key] }
 
