--- a/internal/request/origin/client_test.go
+++ b/internal/request/origin/client_test.go
@@ -48,6 +48,7 @@
 			c.cfg.Table.Add(Key{"w", id}, Origin{"s", "v1"}, time.Now())
 		}
 		time.Sleep(time.Second)
+		synctest.Wait()
 		if !leader.told["a"] || !leader.told["b"] {
 			t.Errorf("control was told of %v", leader.told)
 		}
