--- a/pkg/process/quorum/node_calls.go
+++ b/pkg/process/quorum/node_calls.go
@@ -1,14 +1,43 @@
 package quorum
 
-import "context"
+import (
+	"context"
+	"sync/atomic"
+)
 
-// Do runs f on the node's goroutine and waits until it returns.
+// call is a function that waits for the node's goroutine. It runs, or is abandoned before that.
+type call struct {
+	taken atomic.Bool
+	f     func()
+}
+
+func (c *call) run() {
+	if c.taken.CompareAndSwap(false, true) {
+		c.f()
+	}
+}
+
+// abandon reports whether the function will not run.
+func (c *call) abandon() bool { return c.taken.CompareAndSwap(false, true) }
+
+// Do runs f on the node's goroutine and waits until it returns. If ctx ends before that has begun, f does
+// not run: the goroutine may stand still for as long as the disk is full.
 func (n *Node) Do(ctx context.Context, f func()) error {
 	ran := make(chan struct{})
-	if err := n.enqueue(ctx, func() { f(); close(ran) }); err != nil {
+	c := &call{f: func() { f(); close(ran) }}
+	if err := n.enqueue(ctx, c.run); err != nil {
 		return err
 	}
 	select {
+	case <-ran:
+		return nil
+	case <-ctx.Done():
+		if c.abandon() {
+			return ctx.Err()
+		}
+	case <-n.done:
+	}
+	select {
 	case <-ran:
 		return nil
 	case <-n.done:
@@ -53,21 +82,24 @@
 
 func (n *Node) proposeAndWait(ctx context.Context, propose func() (index, term uint64, err error)) (any, error) {
 	answer := make(chan outcome, 1)
-	err := n.enqueue(ctx, func() {
+	c := &call{f: func() {
 		index, term, err := propose()
 		if err != nil {
 			answer <- outcome{err: err}
 			return
 		}
 		n.pending[index] = pendingProposal{term, func(r any, err error) { answer <- outcome{r, err} }}
-	})
-	if err != nil {
+	}}
+	if err := n.enqueue(ctx, c.run); err != nil {
 		return nil, err
 	}
 	select {
 	case o := <-answer:
 		return o.result, o.err
 	case <-ctx.Done():
+		if c.abandon() {
+			return nil, ctx.Err()
+		}
 		return nil, &UnknownOutcomeError{Reason: ctx.Err().Error()}
 	case <-n.done:
 		return nil, &UnknownOutcomeError{Reason: "the replica stopped"}
--- a/pkg/process/quorum/node_test.go
+++ b/pkg/process/quorum/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -48,6 +49,67 @@
 	return ok
 }
 
+// TestCallsEndWhileTheDiskIsFull guards against calls that last for as long as a disk is full, and are carried
+// out after it has room, when nobody waits for them any more.
+func TestCallsEndWhileTheDiskIsFull(t *testing.T) {
+	var full atomic.Bool
+	waits, room := make(chan struct{}, 1), make(chan struct{})
+	applied := make(chan string, 8)
+	n, err := NewNode(Config{ID: 1, Timing: DefaultTiming(), Send: func([]Message) {},
+		Persist: func(Ready) error {
+			if full.Load() {
+				waits <- struct{}{}
+				<-room
+			}
+			return nil
+		},
+		Apply: func(_ uint64, data []byte) any { applied <- string(data); return nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx := t.Context()
+	go n.Run(ctx)
+	if err := n.Do(ctx, func() { n.core.Bootstrap(Members{{ID: 1, Addr: "a"}}) }); err != nil {
+		t.Fatal(err)
+	}
+	for !holdsLease(n) {
+		time.Sleep(time.Millisecond)
+	}
+	full.Store(true)
+	first := make(chan error, 1)
+	go func() { _, err := n.Propose(ctx, []byte("first")); first <- err }()
+	<-waits
+	callCtx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+	defer cancel()
+	ran, ended := false, make(chan error, 2)
+	go func() { ended <- n.Do(callCtx, func() { ran = true }) }()
+	go func() { _, err := n.Propose(callCtx, []byte("late")); ended <- err }()
+	for range 2 {
+		select {
+		case err := <-ended:
+			if !errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("a call on a full disk: %v", err)
+			}
+		case <-time.After(2 * time.Second):
+			t.Error("a call goes on for as long as the disk is full")
+		}
+	}
+	full.Store(false)
+	close(room)
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+	if err := n.Do(ctx, func() {}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := n.Propose(ctx, []byte("last")); err != nil {
+		t.Fatal(err)
+	}
+	if a, b := <-applied, <-applied; a != "first" || b != "last" || ran {
+		t.Errorf("applied %q and %q, ran %v: a call that had ended was carried out", a, b, ran)
+	}
+}
+
 // TestConcurrentSnapshotLosesNoCommands applies commands while snapshots are written on
 // another goroutine. The last snapshot and the log after it must contain all applied
 // commands.
