--- a/pkg/process/disk/crash_test.go
+++ b/pkg/process/disk/crash_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -25,6 +26,10 @@
 	rng *rand.Rand
 	// left is the number of operations until the process is killed.
 	left int
+	// fills is true if the disk is full now and then; full is the number of operations until it has room
+	// again.
+	fills bool
+	full  int
 	// synced holds the content of each file at its last sync, by inode; names the inode of
 	// each durable directory entry.
 	synced map[uint64][]byte
@@ -56,7 +61,37 @@
 // start returns the operations of a process that is killed after n of them.
 func (x *crashFiles) start(n int) Files {
 	x.left = n
-	return Files{Write: x.write, Sync: x.sync}
+	return Files{Write: x.write, Sync: x.sync, Truncate: x.truncate, Rename: x.rename}
+}
+
+// isFull reports whether an operation finds the disk full.
+func (x *crashFiles) isFull() bool {
+	if x.full > 0 {
+		x.full--
+	} else if x.fills && x.rng.IntN(12) == 0 {
+		x.full = 1 + x.rng.IntN(8)
+	}
+	return x.full > 0 && x.rng.IntN(4) > 0
+}
+
+func (x *crashFiles) truncate(f *os.File, size int64) error {
+	switch x.left--; {
+	case x.left < 0:
+		return errKilled
+	case x.isFull():
+		return syscall.ENOSPC
+	}
+	return f.Truncate(size)
+}
+
+func (x *crashFiles) rename(from, to string) error {
+	switch x.left--; {
+	case x.left < 0:
+		return errKilled
+	case x.isFull():
+		return syscall.ENOSPC
+	}
+	return os.Rename(from, to)
 }
 
 func (x *crashFiles) write(f *os.File, p []byte) (int, error) {
@@ -66,6 +101,9 @@
 	case x.left == 0 && x.rng.IntN(2) == 0:
 		n, _ := f.Write(p[:x.rng.IntN(len(p))])
 		return n, errKilled
+	case x.isFull():
+		n, _ := f.Write(p[:x.rng.IntN(len(p))])
+		return n, syscall.EDQUOT
 	}
 	return f.Write(p)
 }
@@ -74,6 +112,9 @@
 	if x.left--; x.left < 0 {
 		return errKilled
 	}
+	if x.isFull() {
+		return syscall.ENOSPC
+	}
 	info, err := f.Stat()
 	if err != nil {
 		return err
@@ -171,19 +212,32 @@
 // acknowledged must be there at the next one, in order and without what was replaced.
 func TestKillsAndPowerLosses(t *testing.T) {
 	for seed := range uint64(100) {
-		playCrashes(t, seed)
+		playCrashes(t, seed, false)
 	}
 }
 
-func playCrashes(t *testing.T, seed uint64) {
+// TestKillsAndPowerLossesOnFullDisks is the same for a disk that is full now and then, which any operation
+// may be the first to notice. Such a disk must not stop for good.
+func TestKillsAndPowerLossesOnFullDisks(t *testing.T) {
+	for seed := range uint64(150) {
+		playCrashes(t, seed, true)
+	}
+}
+
+func playCrashes(t *testing.T, seed uint64, fills bool) {
 	t.Helper()
 	dir := t.TempDir()
 	rng := rand.New(rand.NewPCG(seed, 17))
 	files := newCrashFiles(t, dir, rng)
 	var id uint64
+	files.fills = fills
 	var want []string // entry i has index i+1; those that the caller may rely on
+	hard := 0         // the number of the latest hard state that is certain to be stored
 	for range 12 {
 		d, saved, err := Open(dir, files.start(1+rng.IntN(40)))
+		for IsFull(err) {
+			d, saved, err = Open(dir, files.start(files.left))
+		}
 		if err != nil && !errors.Is(err, errKilled) {
 			t.Fatalf("seed %d: cannot open: %v", seed, err)
 		}
@@ -196,7 +250,12 @@
 			if len(got) < len(want) || !slices.Equal(got[:len(want)], want) {
 				t.Fatalf("seed %d: entries are %q, want %q and perhaps one more write", seed, got, want)
 			}
-			want = appendUntilKilled(d, rng, got)
+			if n, _ := strconv.Atoi(string(saved.Hard)); n < hard {
+				t.Fatalf("seed %d: the hard state is %d, want %d", seed, n, hard)
+			}
+			if want, err = appendUntilKilled(d, rng, got, &hard); !errors.Is(err, errKilled) {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
 			d.Close()
 		}
 		if rng.IntN(2) == 0 {
@@ -207,12 +266,13 @@
 
 // appendUntilKilled writes, replaces and compacts entries until the process is killed, and
 // returns those that are certain to be stored: the acknowledged ones, without any that the
-// interrupted write may have replaced.
-func appendUntilKilled(d *Disk, rng *rand.Rand, log []string) []string {
+// interrupted write may have replaced. hard is the latest hard state that is.
+func appendUntilKilled(d *Disk, rng *rand.Rand, log []string, hard *int) ([]string, error) {
 	for n := 0; ; n++ {
 		if len(log) > 0 && rng.IntN(20) == 0 {
-			if err := d.SaveSnapshot(uint64(len(log)), []byte(joinLines(log))); err != nil {
-				return log
+			err := retryWhileFull(func() error { return d.SaveSnapshot(uint64(len(log)), []byte(joinLines(log))) })
+			if err != nil {
+				return log, err
 			}
 			continue
 		}
@@ -221,13 +281,25 @@
 			keep = int(d.snapshotIndex) + rng.IntN(keep-int(d.snapshotIndex))
 		}
 		text := fmt.Sprintf("%d-%d", keep+1, rng.Uint32())
-		if err := d.Append(Batch{First: uint64(keep + 1), Entries: [][]byte{[]byte(text)}}); err != nil {
-			return log[:keep]
+		b := Batch{First: uint64(keep + 1), Entries: [][]byte{[]byte(text)}, Hard: []byte(strconv.Itoa(*hard + 1))}
+		if err := retryWhileFull(func() error { return d.Append(b) }); err != nil {
+			return log[:keep], err
 		}
+		*hard++
 		log = append(slices.Clone(log[:keep]), text)
 	}
 }
 
+func retryWhileFull(do func() error) error {
+	for {
+		err := do()
+		var full *FullError
+		if !errors.As(err, &full) {
+			return err
+		}
+	}
+}
+
 func joinLines(log []string) string {
 	var out bytes.Buffer
 	for _, x := range log {
--- a/pkg/process/disk/disk.go
+++ b/pkg/process/disk/disk.go
@@ -49,8 +49,8 @@
 
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
-// FullError reports a write for which the disk had no space. No part of it is left on disk,
-// and it may be retried.
+// FullError reports a write for which the disk had no space. It may be retried. File systems report that
+// for a write, or only for a sync; then it is uncertain what of the write is on disk.
 type FullError struct{ Cause error }
 
 func (e *FullError) Error() string { return "the disk is full: " + e.Cause.Error() }
@@ -72,13 +72,18 @@
 type Files struct {
 	Write func(f *os.File, p []byte) (int, error)
 	Sync  func(f *os.File) error
+	// Truncate and Rename are those of the os package.
+	Truncate func(f *os.File, size int64) error
+	Rename   func(from, to string) error
 }
 
 // RealFiles returns the file operations of the operating system.
 func RealFiles() Files {
 	return Files{
-		Write: func(f *os.File, p []byte) (int, error) { return f.Write(p) },
-		Sync:  func(f *os.File) error { return f.Sync() },
+		Write:    func(f *os.File, p []byte) (int, error) { return f.Write(p) },
+		Sync:     func(f *os.File) error { return f.Sync() },
+		Truncate: func(f *os.File, size int64) error { return f.Truncate(size) },
+		Rename:   os.Rename,
 	}
 }
 
@@ -101,8 +106,16 @@
 	lock    *os.File
 	id      uint64
 	segment *os.File
-	size    int64
-	hard    []byte
+	// size is the size of the frames in segment that are synced. Behind them is the rest of a failed write
+	// while uncut is true.
+	size  int64
+	uncut bool
+	// next is a segment that has been started, but is not synced yet. The disk may have it with the hard
+	// state of its start, so nothing is written to the segment before.
+	next *os.File
+	// filled is true once next had a complete frame.
+	filled bool
+	hard   []byte
 	// closed contains the segments that are no longer written to, oldest first.
 	closed []closedSegment
 	// number is that of the current segment.
@@ -136,6 +149,10 @@
 	}
 	saved, err := d.load()
 	if err != nil {
+		if d.next != nil {
+			d.next.Close()
+			os.Remove(d.next.Name()) // what remains is read as an empty segment, or repeats the hard state
+		}
 		d.lock.Close()
 		return nil, nil, err
 	}
@@ -164,7 +181,7 @@
 	if d.broken != nil {
 		return &BrokenError{Cause: d.broken}
 	}
-	if d.size > segmentBytes {
+	if d.size > segmentBytes || d.next != nil {
 		if err := d.rotate(); err != nil {
 			return d.fail(err)
 		}
@@ -176,24 +193,43 @@
 }
 
 func (d *Disk) write(b Batch) error {
+	if err := d.cut(); err != nil {
+		return err
+	}
+	d.uncut = true
 	n, err := d.writeFrame(d.segment, b)
-	if isDiskFull(err) {
-		if truncateErr := d.segment.Truncate(d.size); truncateErr != nil {
-			return Error.Wrap(errs.Combine(err, truncateErr))
+	if err == nil {
+		err = Error.Wrap(d.files.Sync(d.segment))
+	}
+	if IsFull(err) {
+		if cutErr := d.cut(); cutErr != nil && !IsFull(cutErr) {
+			return Error.Wrap(errs.Combine(err, cutErr))
 		}
-		return &FullError{Cause: err}
 	}
-	d.size += n
 	if err != nil {
-		return err
+		return asFull(err)
 	}
+	d.size += n
+	d.uncut = false
 	if len(b.Hard) > 0 {
 		d.hard = b.Hard
 	}
 	if len(b.Entries) > 0 {
 		d.last = max(d.last, b.First+uint64(len(b.Entries))-1)
 	}
-	return Error.Wrap(d.files.Sync(d.segment))
+	return nil
+}
+
+// cut removes the rest of a failed write.
+func (d *Disk) cut() error {
+	if !d.uncut {
+		return nil
+	}
+	if err := d.files.Truncate(d.segment, d.size); err != nil {
+		return asFull(Error.Wrap(err))
+	}
+	d.uncut = false
+	return nil
 }
 
 // writeFrame writes a batch as a frame and returns the number of bytes written.
@@ -215,37 +251,63 @@
 	return err
 }
 
-// isDiskFull reports whether err means that the disk has no space left.
-func isDiskFull(err error) bool { return errors.Is(err, syscall.ENOSPC) }
+// IsFull reports whether err means that the disk, or the share of it that this process may use, has no
+// space left.
+func IsFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
+// asFull returns err as a *FullError if it means that the disk has no space left.
+func asFull(err error) error {
+	var full *FullError
+	if IsFull(err) && !errors.As(err, &full) {
+		return &FullError{Cause: err}
+	}
+	return err
+}
 
 // rotate starts a new segment whose first frame repeats the hard state. If the disk has no
-// space for it, the current segment remains in use.
+// space for its frame, the current segment remains in use.
 func (d *Disk) rotate() error {
 	path := filepath.Join(d.dir, fmt.Sprintf("%012d%s", d.number+1, segmentSuffix))
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
-	if isDiskFull(err) {
-		return &FullError{Cause: err}
+	if d.next == nil {
+		f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
+		if err != nil {
+			return asFull(Error.Wrap(err))
+		}
+		d.next, d.filled = f, false
 	}
-	if err != nil {
-		return Error.Wrap(err)
+	if err := d.files.Truncate(d.next, 0); err != nil {
+		return asFull(Error.Wrap(err))
 	}
-	size, err := d.writeFrame(f, Batch{Hard: d.hard})
-	if isDiskFull(err) {
-		if cleanupErr := errs.Combine(f.Close(), os.Remove(path)); cleanupErr != nil {
-			return Error.Wrap(errs.Combine(err, cleanupErr))
-		}
-		return &FullError{Cause: err}
+	size, err := d.writeFrame(d.next, Batch{Hard: d.hard})
+	if IsFull(err) && !d.filled {
+		return d.dropNext(err)
 	}
-	if err := errs.Combine(err, d.files.Sync(f)); err != nil {
-		return Error.Wrap(errs.Combine(err, f.Close()))
+	if err == nil {
+		d.filled = true
+		err = errs.Combine(d.files.Sync(d.next), d.syncDir())
+	}
+	if err != nil {
+		return asFull(Error.Wrap(err))
 	}
 	if d.segment != nil {
 		d.closed = append(d.closed, closedSegment{d.segment.Name(), d.last})
 		d.segment.Close()
 	}
 	d.number++
-	d.segment, d.size = f, size
-	return d.syncDir()
+	d.segment, d.size, d.uncut, d.next = d.next, size, false, nil
+	return nil
+}
+
+// dropNext removes a started segment that has no complete frame. One that cannot be removed is started
+// again by the next write.
+func (d *Disk) dropNext(cause error) error {
+	if os.Remove(d.next.Name()) == nil {
+		d.next.Close()
+		d.next = nil
+	}
+	return &FullError{Cause: cause}
 }
 
 // Trim removes the segments without entries after index. A snapshot up to index must have
@@ -293,7 +355,7 @@
 	if err := errs.Combine(d.files.Sync(f), f.Close()); err != nil {
 		return Error.Wrap(err)
 	}
-	if err := os.Rename(path+".new", path); err != nil {
+	if err := d.files.Rename(path+".new", path); err != nil {
 		return Error.Wrap(err)
 	}
 	return d.syncDir()
@@ -310,5 +372,8 @@
 
 // Close releases the directory.
 func (d *Disk) Close() error {
+	if d.next != nil {
+		d.next.Close()
+	}
 	return Error.Wrap(errs.Combine(d.segment.Close(), d.lock.Close()))
 }
--- a/pkg/process/disk/disk_test.go
+++ b/pkg/process/disk/disk_test.go
@@ -304,18 +304,41 @@
 // snapshot. The operation must return an error, the directory must open with exactly the
 // entries synced before, and the same operation must succeed once the disk has space.
 func TestRetryAfterFullDisk(t *testing.T) {
-	isFull := false
-	files := RealFiles()
-	files.Write = func(f *os.File, p []byte) (int, error) {
-		if isFull {
-			n, err := f.Write(p[:len(p)/2])
-			if err == nil {
-				err = syscall.ENOSPC
+	for _, c := range []struct {
+		name string
+		fail func(f *Files, isFull *bool)
+	}{
+		{"at a write", func(f *Files, isFull *bool) {
+			f.Write = func(f *os.File, p []byte) (int, error) {
+				if *isFull {
+					n, err := f.Write(p[:len(p)/2])
+					if err == nil {
+						err = syscall.ENOSPC
+					}
+					return n, err
+				}
+				return f.Write(p)
 			}
-			return n, err
-		}
-		return f.Write(p)
+		}},
+		{"at a sync", func(f *Files, isFull *bool) {
+			f.Sync = func(f *os.File) error {
+				if *isFull {
+					return syscall.ENOSPC
+				}
+				return f.Sync()
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			isFull, files := false, RealFiles()
+			c.fail(&files, &isFull)
+			retryAfterFullDisk(t, files, &isFull)
+		})
 	}
+}
+
+func retryAfterFullDisk(t *testing.T, files Files, isFull *bool) {
+	t.Helper()
 	dir := t.TempDir()
 	d, _ := mustOpen(t, dir, files)
 	defer d.Close()
@@ -340,7 +363,7 @@
 	}
 	want := [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}, {"b", "c"}} // the snapshot covers the first
 	for i, x := range steps {
-		isFull = true
+		*isFull = true
 		for range 2 {
 			if err := x.do(); !errors.Is(err, syscall.ENOSPC) {
 				t.Fatalf("%s on a full disk: %v", x.name, err)
@@ -354,7 +377,7 @@
 		if got := reopenCopy(t, dir); !slices.Equal(got, want[i]) {
 			t.Fatalf("%s: the directory on a full disk has the entries %q", x.name, got)
 		}
-		isFull = false
+		*isFull = false
 		if err := x.do(); err != nil {
 			t.Fatalf("%s after the disk has space: %v", x.name, err)
 		}
--- a/pkg/process/disk/load.go
+++ b/pkg/process/disk/load.go
@@ -149,7 +149,7 @@
 		return Error.Wrap(err)
 	}
 	defer f.Close()
-	if err := f.Truncate(size); err != nil {
+	if err := d.files.Truncate(f, size); err != nil {
 		return Error.Wrap(err)
 	}
 	return Error.Wrap(d.files.Sync(f))
--- a/pkg/process/disk/snapshot.go
+++ b/pkg/process/disk/snapshot.go
@@ -50,7 +50,7 @@
 		return nil
 	})
 	if err != nil {
-		return d.fail(err)
+		return d.fail(asFull(err))
 	}
 	return d.Trim(index)
 }
@@ -78,7 +78,7 @@
 // replaceSnapshot makes a complete file the stored snapshot.
 func (d *Disk) replaceSnapshot(s *StagedSnapshot) error {
 	path := filepath.Join(d.dir, snapshotFile)
-	if err := os.Rename(s.path, path); err != nil {
+	if err := d.files.Rename(s.path, path); err != nil {
 		return Error.Wrap(err)
 	}
 	s.path = path
@@ -147,13 +147,13 @@
 }
 
 // Install makes a closed StagedSnapshot the stored snapshot and removes the segments without
-// later entries.
+// later entries. After a *FullError it may be called again.
 func (d *Disk) Install(s *StagedSnapshot) error {
 	if d.broken != nil {
 		return &BrokenError{Cause: d.broken}
 	}
 	if err := d.install(s); err != nil {
-		return d.fail(err)
+		return d.fail(asFull(err))
 	}
 	return d.Trim(s.index)
 }
--- a/pkg/process/replica/cluster_test.go
+++ b/pkg/process/replica/cluster_test.go
@@ -53,12 +53,21 @@
 // cluster is a group of replicas on loopback addresses. Its state is the concatenation of
 // all proposals.
 type cluster struct {
-	hosts []*replicaHost
+	hosts    []*replicaHost
+	replicas int
+	// files returns the file operations of a host.
+	files func(i int) disk.Files
 }
 
 func newCluster(t *testing.T, n int) *cluster {
 	t.Helper()
-	c := &cluster{}
+	return newClusterOf(t, n, n, func(int) disk.Files { return disk.RealFiles() })
+}
+
+// newClusterOf starts n hosts, of which the first replicas are the initial voters.
+func newClusterOf(t *testing.T, n, replicas int, files func(i int) disk.Files) *cluster {
+	t.Helper()
+	c := &cluster{replicas: replicas, files: files}
 	for range n {
 		h := &replicaHost{}
 		h.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*h.handler.Load()).ServeHTTP(w, r) }))
@@ -66,9 +75,11 @@
 		c.hosts = append(c.hosts, h)
 	}
 	var members quorum.Members
-	for _, h := range c.hosts {
-		c.start(t, h)
-		members = append(members, quorum.Member{ID: quorum.NodeID(h.replica.Load().Disk()), Addr: h.addr()})
+	for i, h := range c.hosts {
+		c.start(t, i)
+		if i < replicas {
+			members = append(members, quorum.Member{ID: quorum.NodeID(h.replica.Load().Disk()), Addr: h.addr()})
+		}
 	}
 	if err := c.hosts[0].replica.Load().Bootstrap(t.Context(), members); err != nil {
 		t.Fatal(err)
@@ -83,15 +94,26 @@
 
 func (h *replicaHost) addr() string { return h.server.Listener.Addr().String() }
 
+// leader returns the number of the host that leads.
+func (c *cluster) leader(t *testing.T) (leader int) {
+	t.Helper()
+	waitUntil(t, "there is a leader", func() bool {
+		leader = slices.IndexFunc(c.hosts, func(h *replicaHost) bool { _, _, ok := h.replica.Load().Node().HoldsLease(); return ok })
+		return leader >= 0
+	})
+	return leader
+}
+
 // start starts a replica with an empty disk on a host.
-func (c *cluster) start(t *testing.T, h *replicaHost) {
+func (c *cluster) start(t *testing.T, i int) {
 	t.Helper()
+	h := c.hosts[i]
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	h.mu.Lock()
 	h.state = nil
 	h.mu.Unlock()
-	r, err := New(Config{Dir: t.TempDir(), Self: h.addr(), Replicas: len(c.hosts), Files: disk.RealFiles(),
+	r, err := New(Config{Dir: t.TempDir(), Self: h.addr(), Replicas: c.replicas, Files: c.files(i),
 		Timing: quorum.DefaultTiming(), Client: &http.Client{Transport: &http.Transport{}}, Log: logrus.NewEntry(log),
 		Apply: func(_ uint64, data []byte) any {
 			h.mu.Lock()
@@ -160,9 +182,8 @@
 // wipe replaces a replica by one with an empty disk and the same address.
 func (c *cluster) wipe(t *testing.T, i int) {
 	t.Helper()
-	h := c.hosts[i]
-	h.stop()
-	c.start(t, h)
+	c.hosts[i].stop()
+	c.start(t, i)
 }
 
 // stateOf returns a copy of a replica's state.
--- a/pkg/process/replica/replica.go
+++ b/pkg/process/replica/replica.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -128,7 +127,7 @@
 func openDisk(cfg Config) (*disk.Disk, *disk.Saved, error) {
 	for end := time.Now().Add(maxDiskFullWait); ; time.Sleep(diskFullRetryDelay) {
 		d, saved, err := disk.Open(cfg.Dir, cfg.Files)
-		if !errors.Is(err, syscall.ENOSPC) || time.Now().After(end) {
+		if !disk.IsFull(err) || time.Now().After(end) {
 			return d, saved, err
 		}
 		cfg.Log.WithError(err).Warn("waiting for room on the disk")
--- a/pkg/process/replica/transfer.go
+++ b/pkg/process/replica/transfer.go
@@ -139,7 +139,7 @@
 	x.pending = true
 	m.Snapshot.Staged = &quorum.StagedSnapshot{
 		Open:    func() (io.ReadCloser, error) { return openState(s.Open) },
-		Install: func() error { defer x.release(); return x.disk.Install(s) },
+		Install: func() error { return x.install(s) },
 		Discard: func() { defer x.release(); s.Discard() },
 	}
 	go x.deliver(m) // the node may install or discard the snapshot at once, which locks mu
@@ -190,6 +190,17 @@
 	return nil
 }
 
+// install installs a complete snapshot. While the disk is full, the node tries again, and no other
+// transfer may write to the file.
+func (x *snapshotReceiver) install(s *disk.StagedSnapshot) error {
+	err := x.disk.Install(s)
+	var full *disk.FullError
+	if !errors.As(err, &full) {
+		x.release()
+	}
+	return err
+}
+
 func (x *snapshotReceiver) release() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/pkg/process/replica/transfer_test.go
+++ b/pkg/process/replica/transfer_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
+	"os"
+	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/plantainbank/plantainbank/pkg/process/disk"
@@ -180,6 +184,42 @@
 	<-delivered
 }
 
+// TestSnapshotWaitsForRoom lets the disk be full when a snapshot that has come is installed. Until there is
+// room, another transfer must not write to its file.
+func TestSnapshotWaitsForRoom(t *testing.T) {
+	files := disk.RealFiles()
+	full := true
+	files.Rename = func(from, to string) error {
+		if full && filepath.Base(to) == "snapshot" {
+			return syscall.ENOSPC
+		}
+		return os.Rename(from, to)
+	}
+	g, _, delivered := newReceivingPeer(t, files)
+	if err := sendTo(g, snapshotMessage(40, 1), testState); err != nil {
+		t.Fatal(err)
+	}
+	m := <-delivered
+	var noRoom *disk.FullError
+	if err := m.Snapshot.Staged.Install(); !errors.As(err, &noRoom) {
+		t.Fatalf("installed on a full disk: %v", err)
+	}
+	if err := sendTo(g, snapshotMessage(50, 2), testState[:10]); err == nil {
+		t.Error("a second transfer replaced the file of a snapshot that waits for room")
+	}
+	full = false
+	if err := m.Snapshot.Staged.Install(); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(readState(t, m.Snapshot), testState) {
+		t.Error("the state differs")
+	}
+	if err := sendTo(g, snapshotMessage(60, 3), testState); err != nil {
+		t.Fatal(err)
+	}
+	<-delivered
+}
+
 // TestOneSnapshotTransferAtATime starts a second transfer before the first snapshot is
 // installed or discarded. It must fail, because both use the same file.
 func TestOneSnapshotTransferAtATime(t *testing.T) {
