--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -75,6 +76,11 @@
 	return fmt.Sprintf("fencing token %d of %q is outdated: a later holder has called", e.Token, e.Holder)
 }
 
+// leaderlessTime is how long after its replica has lost the leader a process names none. A replica that
+// knows none for longer may have been removed from the group while its disk was full, or while it was cut
+// off; then it hears of no election.
+const leaderlessTime = 2 * time.Second
+
 // Config holds the settings and dependencies of a Server.
 type Config struct {
 	Site     settings.Site
@@ -101,6 +107,8 @@
 	copies copyCache
 	// started is the start time of the process.
 	started time.Time
+	// leaderless is since when the replica knows no leader, in Unix nanoseconds.
+	leaderless atomic.Int64
 	// changed is closed and replaced to make waiting calls check the state again.
 	changed chan struct{}
 }
@@ -158,13 +166,19 @@
 // Leader returns the address at which the leader serves the other processes of the site;
 // self is true if this process leads with a valid lease.
 func (s *Server) Leader() (addr string, self bool) {
-	if _, _, ok := s.replica.Node().HoldsLease(); ok {
+	node := s.replica.Node()
+	if _, _, ok := node.HoldsLease(); ok {
 		return s.cfg.Site.InternalAddr(), true
 	}
-	if addr := s.replica.Node().Status().LeaderAddr; addr != s.cfg.Site.InternalAddr() && addr != "" {
-		return addr, false
+	if st := node.Status(); s.replica.Voter() && (st.Leader != 0 || time.Since(time.Unix(0, s.leaderless.Load())) < leaderlessTime) {
+		addr = st.LeaderAddr
+	} else {
+		addr = s.feed.ConfirmedLeader()
+	}
+	if addr == s.cfg.Site.InternalAddr() {
+		return "", false
 	}
-	return "", false
+	return addr, false
 }
 
 func (s *Server) do(ctx context.Context, f func()) error { return s.replica.Node().Do(ctx, f) }
@@ -251,6 +265,9 @@
 // its first call, which New makes.
 func (s *Server) roleChanged(st quorum.Status) {
 	s.cfg.Scope.Gauge("term").Update(float64(st.Term))
+	if st.Leader == 0 {
+		s.leaderless.Store(time.Now().UnixNano())
+	}
 	if st.Role != quorum.Leader {
 		s.leadership = nil
 		return
--- /dev/null
+++ b/internal/process/director/group_test.go
@@ -0,0 +1,189 @@
+package director
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/plantainbank/plantainbank/pkg/process/disk"
+	"github.com/plantainbank/plantainbank/pkg/process/quorum"
+	"github.com/plantainbank/plantainbank/pkg/process/settings"
+)
+
+// testGroup is a group of control processes, of which three vote.
+type testGroup struct {
+	servers []*Server
+	// full says of each process whether its disk is full.
+	full    []atomic.Bool
+	stop    []func()
+	stopped []bool
+}
+
+var groups atomic.Int64
+
+// startGroup starts n control processes on loopback addresses.
+func startGroup(t *testing.T, n int) *testGroup {
+	t.Helper()
+	g := &testGroup{full: make([]atomic.Bool, n), stopped: make([]bool, n)}
+	prefix := fmt.Sprintf("127.%d.%d", 60+os.Getpid()%40, groups.Add(1))
+	host := func(i int) string { return fmt.Sprintf("%s.%d", prefix, i+1) }
+	var lns []net.Listener
+	port := 0
+	for i := range n {
+		ln, err := net.Listen("tcp", net.JoinHostPort(host(i), strconv.Itoa(port)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		port = ln.Addr().(*net.TCPAddr).Port
+		lns = append(lns, ln)
+	}
+	var seeds []string
+	for i := range 3 {
+		seeds = append(seeds, net.JoinHostPort(host(i), strconv.Itoa(port)))
+	}
+	for i, ln := range lns {
+		site := settings.Site{Role: settings.RoleControl, Host: fmt.Sprint("control-", i), Zone: fmt.Sprint("z", i%3), IP: host(i),
+			Ports: []int{port, port}, Seeds: seeds, Bootstrap: true, DataDir: t.TempDir(), MemoryMB: 512, MaxLostHosts: 1,
+			Bounds: settings.Bounds{Lease: 3000, Grace: 1000, Window: 10000, ResultRetention: 10000}}
+		log := logrus.NewEntry(logrus.New()).WithField("host", site.Host)
+		log.Logger.SetOutput(t.Output())
+		files := disk.RealFiles()
+		files.Write = func(f *os.File, p []byte) (int, error) {
+			if g.full[i].Load() {
+				return 0, syscall.ENOSPC
+			}
+			return f.Write(p)
+		}
+		s, err := New(Config{Site: site, Log: log, Scope: tally.NoopScope, Files: files, Timing: quorum.FastFailoverTiming(),
+			Client: &http.Client{Transport: &http.Transport{}}, External: ExternalCalls{
+				ReportUsage: func(context.Context, FencingToken, uint64, map[string]uint64) error { return nil }}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: s.Handler()}
+		ctx, cancel := context.WithCancel(t.Context())
+		served, ran := make(chan struct{}), make(chan struct{})
+		go func() { defer close(served); _ = server.Serve(ln) }()
+		go func() { defer close(ran); _ = s.Run(ctx) }()
+		g.stop = append(g.stop, func() {
+			if g.stopped[i] {
+				return
+			}
+			g.stopped[i] = true
+			cancel()
+			server.Close()
+			<-served
+			<-ran
+			s.Close()
+		})
+		t.Cleanup(g.stop[i])
+		g.servers = append(g.servers, s)
+	}
+	g.leader(t)
+	return g
+}
+
+// leader returns the number of the leader.
+func (g *testGroup) leader(t *testing.T) (leader int) {
+	t.Helper()
+	waitUntil(t, "a leader", func() bool {
+		for i, s := range g.servers {
+			if _, self := s.Leader(); self && !g.stopped[i] {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// put submits a configuration to a process and follows two redirects, as operators do.
+func (g *testGroup) put(ctx context.Context, to int, version uint64) error {
+	for redirects := 0; ; redirects++ {
+		callCtx, cancel := context.WithTimeout(ctx, time.Second)
+		err := g.servers[to].PutConfig(callCtx, nil, largeConfig(version, 1))
+		cancel()
+		var other *NotLeaderError
+		if !errors.As(err, &other) || redirects == 2 {
+			return err
+		}
+		next := -1
+		for i, s := range g.servers {
+			if s.cfg.Site.InternalAddr() == other.Addr {
+				next = i
+			}
+		}
+		if next < 0 {
+			return err
+		}
+		to = next
+	}
+}
+
+// TestProcessWithoutAVoteNamesTheLeader guards against control processes that are no members of the group,
+// and refuse each change since they know no leader.
+func TestProcessWithoutAVoteNamesTheLeader(t *testing.T) {
+	g := startGroup(t, 5)
+	for round := range uint64(2) {
+		leader := g.leader(t)
+		want := g.servers[leader].cfg.Site.InternalAddr()
+		for i := 3; i < 5; i++ {
+			waitUntil(t, fmt.Sprintf("process %d to name the leader", i), func() bool { addr, _ := g.servers[i].Leader(); return addr == want })
+			if err := g.put(t.Context(), i, 10*round+uint64(i)); err != nil {
+				t.Errorf("a change at process %d: %v", i, err)
+			}
+		}
+		if round == 0 {
+			g.stop[leader]()
+		}
+	}
+}
+
+// TestChangesAfterFullDisksInSeries fills the disks of the voters one after another, each for longer than a
+// voter may be silent, so that other processes take their votes. Later each process, in the group or not, must
+// take changes or name one that does.
+func TestChangesAfterFullDisksInSeries(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 5)
+	version := uint64(1)
+	for range 3 {
+		i := g.leader(t)
+		g.full[i].Store(true)
+		for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+			version++
+			_ = g.put(t.Context(), int(version)%5, version) // may fail meanwhile
+		}
+		g.full[i].Store(false)
+		time.Sleep(300 * time.Millisecond)
+	}
+	room := time.Now()
+	for i := range g.servers {
+		waitUntil(t, fmt.Sprintf("process %d to take a change", i), func() bool {
+			version++
+			return g.put(t.Context(), i, version) == nil
+		})
+	}
+	if took := time.Since(room); took > 4*time.Second {
+		t.Errorf("changes were taken at all processes only %v after the last disk had room", took)
+	}
+	for i := range g.servers {
+		for n := range 3 {
+			version++
+			if err := g.put(t.Context(), i, version); err != nil {
+				t.Errorf("change %d at process %d: %v", n, i, err)
+			}
+		}
+	}
+}
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -144,6 +144,17 @@
 	return f.leader
 }
 
+// ConfirmedLeader returns the address of the control leader if it has answered the latest call, empty
+// otherwise.
+func (f *Feed) ConfirmedLeader() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.confirmed {
+		return ""
+	}
+	return f.leader
+}
+
 // SetSeeds replaces the seed addresses after the settings have changed.
 func (f *Feed) SetSeeds(seeds []string) {
 	f.mu.Lock()
