--- a/internal/process/roster/claim.go
+++ b/internal/process/roster/claim.go
@@ -81,9 +81,10 @@
 }
 
 // continuedBy reports whether x is a later announcement of the same sender. A server numbers its calls one
-// by one, so a number far ahead has another sender.
+// by one, so a number far ahead has another sender. That holds only for numbers heard from the sender: an
+// entry that an earlier leader saved has the number of its last change.
 func (c *claim) continuedBy(x *Instance, now time.Time) bool {
-	return sameSender(&c.Instance, x) && x.Seq > c.Seq && x.Seq-c.Seq <= maxStep(now.Sub(c.lastContact))
+	return sameSender(&c.Instance, x) && x.Seq > c.Seq && (c.count == 0 || x.Seq-c.Seq <= maxStep(now.Sub(c.lastContact)))
 }
 
 // maxStep is the largest number of calls that a server makes in a time. It calls each control host in turn
--- a/internal/process/roster/claim_test.go
+++ b/internal/process/roster/claim_test.go
@@ -303,6 +303,22 @@
 	}
 }
 
+// TestNewLeaderKnowsOldNumbers guards against a new leader that takes the next announcement of each server for
+// one of another writer, since its copy has the numbers of the last changes. A server that drains must get
+// no more requests at once.
+func TestNewLeaderKnowsOldNumbers(t *testing.T) {
+	table := New(1 << 32)
+	table.Load([]Instance{trueServer(7)}, start)
+	x := trueServer(900)
+	x.State = Draining
+	if out := table.Announce(x, start.Add(interval)); !out.Newer || out.Holder != nil || len(out.Displaced) != 0 {
+		t.Errorf("the announcement led to %+v", out)
+	}
+	if got, _ := table.Get("i"); got.State != Draining {
+		t.Errorf("the server is %+v", got)
+	}
+}
+
 // TestClaimsAreBounded lets another writer announce under many IDs at one address, and many times under
 // one ID.
 func TestClaimsAreBounded(t *testing.T) {
