--- a/internal/request/batch/batch.go
+++ b/internal/request/batch/batch.go
@@ -240,7 +240,9 @@
 	}
 	s.put(b)
 	for _, r := range b.Results {
-		b.dropItemData(b.index[r.Item])
+		if i, ok := b.index[r.Item]; ok {
+			b.dropItemData(i)
+		}
 	}
 	if e, ok := s.earlyEnds[b.ID]; ok {
 		delete(s.earlyEnds, b.ID)
