--- a/internal/process/roster/claim.go
+++ b/internal/process/roster/claim.go
@@ -97,6 +97,8 @@
 	since := c.reportsSince(h.lastContact)
 	successor := c.Born > h.Born
 	switch {
+	case h.State != Gone && sameSender(&h.Instance, &c.Instance):
+		return since >= takeReports && c.Seq > h.Seq || since >= proofReports && now.Sub(h.lastContact) > holdTime
 	case c.first.Before(h.first) && c.reportsSince(h.first) >= proofReports:
 		return true
 	case h.Unconfirmed:
@@ -105,8 +107,6 @@
 		return true // the departure of an incarnation that was never heard of
 	case h.State == Gone:
 		return successor || since >= proofReports
-	case sameSender(&h.Instance, &c.Instance):
-		return since >= takeReports && c.Seq > h.Seq || since >= proofReports && now.Sub(h.lastContact) > holdTime
 	case successor && !contested && samePlace(&h.Instance, &c.Instance) && h.State == Ready && c.State == Ready:
 		return true // a restart
 	case !successor && h.count == 1 && c.displaced.Equal(h.first) && samePlace(&h.Instance, &c.Instance):
@@ -128,11 +128,15 @@
 // claimOf returns the claim that an announcement continues, a new one if it continues none, and nil if it
 // is late or if there are too many.
 func (t *Table) claimOf(x *Instance, now time.Time) *claim {
+	var latest *claim
 	for _, c := range t.claims[x.ID] {
-		if c.continuedBy(x, now) {
-			return c
+		if c.continuedBy(x, now) && (latest == nil || c.Seq > latest.Seq) {
+			latest = c
 		}
 	}
+	if latest != nil {
+		return latest
+	}
 	if e := t.all[x.ID]; e != nil && sameSender(&e.Instance, x) && (x.Seq == e.Seq || x.Seq < e.Seq && e.State == Gone) {
 		return nil
 	}
@@ -208,6 +212,11 @@
 func (t *Table) take(c *claim, now time.Time) (displaced []Instance) {
 	t.dropClaim(c)
 	c.displaced = time.Time{}
+	for _, x := range slices.Clone(t.claims[c.ID]) {
+		if sameSender(&x.Instance, &c.Instance) && x.Seq < c.Seq {
+			t.dropClaim(x) // announcements that have come late
+		}
+	}
 	for _, e := range t.all {
 		if e.ID != c.ID && e.Addr == c.Addr && e.State != Gone {
 			displaced = append(displaced, e.Instance)
