--- a/internal/process/director/group_test.go
+++ b/internal/process/director/group_test.go
@@ -175,7 +175,7 @@
 			return g.put(t.Context(), i, version) == nil
 		})
 	}
-	// 3 s after the last disturbance the group must be stable, and has 4 s for a change.
+	// 3 s after the last fault the group must be stable, and has 4 s for a change.
 	if took := time.Since(room); took > 7*time.Second {
 		t.Errorf("changes were taken at all processes only %v after the last disk had room", took)
 	}
--- a/pkg/process/replica/full_test.go
+++ b/pkg/process/replica/full_test.go
@@ -91,7 +91,7 @@
 // TestFullDisksInSeries guards against a group that accepts no change any more after the disks of its
 // members were full one after another, while all processes run.
 func TestFullDisksInSeries(t *testing.T) {
-	const ackTime = 7 * time.Second // 3 s after the last disturbance the group must be stable, and has 4 s for a change
+	const ackTime = 7 * time.Second // 3 s after the last fault the group must be stable, and has 4 s for a change
 	for i := range *fullSeeds {
 		seed := *fullFirst + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
