Move runs to faster engines by the time between events

The pace of an engine contained the wait for the first event, so the median was about 45 ms and a run at 62 ms was below the 1.8 times that moves it. Free slots of fast engines went to waiting items before any run could move there.

Change: with "scheduling.speeds" a store leader averages the time between two events by engine, over 2.5 s, and before each dispatch of waiting items takes free slots at faster engines for the runs that would end the latest, if they win 0.5 s. Long items choose their first engine by the same figure.

Why it works: a run goes on after its last event, so a move costs a tenth of a second, and the slot that it leaves takes the short items.

--- a/internal/connection/placement/table.go
+++ b/internal/connection/placement/table.go
@@ -78,6 +78,8 @@
 	running int
 	// pace is the moving average of the time per unit of work.
 	pace time.Duration
+	// events is the time between two events of the requests at the server.
+	events eventTime
 	// cooldownUntil ends a cooldown. failures counts the failures since the last
 	// served request; those during a cooldown are not counted.
 	cooldownUntil time.Time
@@ -117,9 +119,14 @@
 	Limits *ratelimit.Book
 	// Departures holds the servers that have said that they leave. They get no requests.
 	Departures *departure.Set
-
-	mu       sync.Mutex
-	servers  map[string]*server
+	// ByEventTime compares servers by the time between two events of a stream where it is known.
+	// The pace also contains the wait for the first event, which depends on the load.
+	ByEventTime bool
+
+	mu      sync.Mutex
+	servers map[string]*server
+	// known holds the event times that another process has measured, by incarnation.
+	known    map[departure.Incarnation]time.Duration
 	zonesOut map[string]bool
 	services *routing.Table
 	// hosts is the number of hosts that send to the same servers.
@@ -146,7 +153,7 @@
 		seen[x.ID] = true
 		s := t.servers[x.ID]
 		if s == nil || s.Born != x.Born {
-			s = &server{}
+			s = &server{events: t.knownEventTime(x)}
 			t.servers[x.ID] = s
 		}
 		known := s.Weights
@@ -191,6 +198,11 @@
 	if s == nil {
 		return Slot{}, false
 	}
+	return t.take(s, req, now), true
+}
+
+// take takes a slot at a server that may get the request.
+func (t *Table) take(s *server, req Requirement, now time.Time) Slot {
 	s.running++
 	s.probing = s.failures > 0
 	if l := s.loading[req.Model]; l != nil {
@@ -201,11 +213,11 @@
 		s.credit--
 	}
 	t.Limits.Spend(s.key(), now)
-	return Slot{ID: s.ID, Addr: s.Addr, Born: s.Born, Service: s.Service, Software: s.Software, Model: req.Model, Taken: now, Running: s.running, Cold: cold}, true
+	return Slot{ID: s.ID, Addr: s.Addr, Born: s.Born, Service: s.Service, Software: s.Software, Model: req.Model, Taken: now, Running: s.running, Cold: cold}
 }
 
 func (t *Table) choose(req Requirement, now time.Time) *server {
-	median := t.medianPace(req.Service)
+	median := t.median(req.Service)
 	var best, preferred, limited *server
 	least, preferredCost, leastLimited := 0.0, 0.0, 0.0
 	stale := false
@@ -215,7 +227,7 @@
 		}
 		cost := t.cost(s, median, now)
 		if req.Fast {
-			cost = s.relativePace(median) + fastLoadCost*float64(s.running)
+			cost = t.relativePace(s, median) + fastLoadCost*float64(s.running)
 		}
 		if !t.Limits.Allows(s.key(), req.Priority, now) {
 			if d := t.Limits.Delay(s.key(), now); d.Wait == 0 && (limited == nil || cost < leastLimited) {
@@ -303,7 +315,7 @@
 }
 
 func (t *Table) cost(s *server, median time.Duration, now time.Time) float64 {
-	relative := s.relativePace(median)
+	relative := t.relativePace(s, median)
 	running := s.running
 	if now.Sub(s.reportedAt) < loadReportTTL {
 		running = max(running, s.reportedLoad)
@@ -320,23 +332,27 @@
 
 // relativePace returns the pace of a server as a multiple of the median, within bounds; 1 if
 // it is not known.
-func (s *server) relativePace(median time.Duration) float64 {
-	if s.pace == 0 || median == 0 {
+func (t *Table) relativePace(s *server, median time.Duration) float64 {
+	pace, least := t.paceOf(s), minRelativePace
+	if t.ByEventTime {
+		least = minRelativeEventTime
+	}
+	if pace == 0 || median == 0 {
 		return 1
 	}
-	return min(maxRelativePace, max(minRelativePace, float64(s.pace)/float64(median)))
+	return min(maxRelativePace, max(least, float64(pace)/float64(median)))
 }
 
 // loadReportTTL is how long a load that a server has reported is used.
 const loadReportTTL = 300 * time.Millisecond
 
-// medianPace returns the median pace of the servers of a service, or zero if none
+// median returns the median pace of the servers of a service, or zero if none
 // is known.
-func (t *Table) medianPace(service string) time.Duration {
+func (t *Table) median(service string) time.Duration {
 	var all []time.Duration
 	for _, s := range t.servers {
-		if s.Service == service && s.pace > 0 {
-			all = append(all, s.pace)
+		if pace := t.paceOf(s); s.Service == service && pace > 0 {
+			all = append(all, pace)
 		}
 	}
 	if len(all) == 0 {
@@ -382,7 +398,7 @@
 func (t *Table) ShouldMove(x Slot, req Requirement, pace time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	median := t.medianPace(req.Service)
+	median := t.median(req.Service)
 	if median == 0 || float64(pace) < slowPace*float64(median) {
 		return false
 	}
--- a/internal/process/store/checkpoint.go
+++ b/internal/process/store/checkpoint.go
@@ -120,6 +120,7 @@
 // endItem stops an item whose batch has ended and retains its progress. A run returns its
 // progress when it has ended, which endingRuns counts until then.
 func (d *driver) endItem(w *pendingItem) {
+	d.releaseNext(w)
 	if w.score != nil && w.cancel != nil {
 		w.cancel(errBatchEnded)
 	}
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -76,9 +76,11 @@
 	// began it; zero if it has not looked for one.
 	blockedAt time.Time
 	cancel    context.CancelCauseFunc
-	// slot is the slot of the current run; pulse is written by the run.
+	// slot is the slot of the current run; pulse is written by the run. next is the slot of the run
+	// that continues it, nil if none was taken.
 	slot  placement.Slot
 	pulse pulse
+	next  *placement.Slot
 }
 
 // reset discards the progress of earlier runs.
@@ -119,6 +121,8 @@
 	work workEstimates
 	// tokenTime is the average run time per token of the callers' length estimates.
 	tokenTime time.Duration
+	// upgradedAt is when upgradeRuns last looked at the running items.
+	upgradedAt time.Time
 	// term is the term in which pending was built, zero while not the leader.
 	term uint64
 }
@@ -139,6 +143,7 @@
 	d.runner = &itemrun.Runner{Client: s.cfg.Engines, Headers: s.cfg.Headers, Limits: s.limitReader(d.table),
 		Departures: s.departureReader(d.table)}
 	d.table.Connected = s.cfg.Engines.Idle
+	d.table.ByEventTime = s.cfg.Site.Scheduling.Speeds
 	d.scoreTable = placement.NewTable()
 	d.scoreTable.Limits, d.scoreTable.Departures = d.table.Limits, d.table.Departures
 	d.scoreTable.Zone, d.scoreTable.Connected = s.cfg.Site.Zone, s.cfg.Engines.Idle
@@ -241,6 +246,7 @@
 
 func (d *driver) stopAll() {
 	for _, w := range d.pending {
+		d.releaseNext(w)
 		if w.cancel != nil {
 			w.cancel(errLeadershipLost)
 		}
@@ -329,6 +335,7 @@
 		return
 	}
 	now := time.Now()
+	d.upgradeRuns(now)
 	full := map[requirementKey]bool{}
 	for _, x := range d.queue.Runnable(now) {
 		w := d.pending[x.Key]
@@ -365,6 +372,7 @@
 	if !expired {
 		return false
 	}
+	d.releaseNext(w)
 	d.queue.Start(k)
 	go d.commitResult(ctx, k, w, batch.Result{Item: k.Item, State: batch.Dead}, "expired")
 	return true
@@ -412,13 +420,13 @@
 	}
 	software := d.softwareOf(k, w, now)
 	key := requirementKey{w.service, w.batch.Model, w.batch.MinVersion, softwareKey(software)}
-	if full[key] {
+	if full[key] && w.next == nil {
 		return
 	}
 	group := w.batch.ID + " " + w.item.Group
 	req := placement.Requirement{Service: w.service, Model: w.batch.Model, MinVersion: w.batch.MinVersion, Prefer: d.preferred[group],
 		Software: software, Avoid: w.avoid, Strict: true, Fast: d.isLong(w, now), Priority: d.state.Table.Priority(route, w.batch.Workspace)}
-	slot, ok := d.table.Take(req, now)
+	slot, ok := d.takeSlot(w, req, now)
 	if !ok {
 		full[key] = len(w.avoid) == 0
 		w.avoid = nil
@@ -441,6 +449,15 @@
 	go d.runItem(runCtx, ctx, k, w, slot, req)
 }
 
+// takeSlot returns the slot of the next run of an item. The caller holds d.mu.
+func (d *driver) takeSlot(w *pendingItem, req placement.Requirement, now time.Time) (placement.Slot, bool) {
+	if w.next != nil && w.next.Service == req.Service {
+		return *w.takeNext(), true
+	}
+	d.releaseNext(w)
+	return d.table.Take(req, now)
+}
+
 // hashFraction maps an item ID to [0, 1), to distribute the items of a batch over the
 // weighted targets of its route. It is the 32-bit FNV-1a hash.
 func hashFraction(id string) float64 {
--- a/internal/process/store/pace.go
+++ b/internal/process/store/pace.go
@@ -91,9 +91,14 @@
 		d.table.Started(slot)
 	}
 	w.pulse.beat(now, p.mean)
+	w.pulse.events.Store(int64(w.progress.Events))
 	if !report {
 		return
 	}
+	if d.table.ByEventTime {
+		d.table.RecordEventTime(slot, p.mean, now)
+		return // dispatch moves runs to faster engines
+	}
 	d.table.RecordPace(slot, p.mean)
 	if w.moves.Load() < maxMoves && d.table.ShouldMove(slot, req, p.mean, now) {
 		w.moves.Add(1)
--- a/internal/process/store/run.go
+++ b/internal/process/store/run.go
@@ -25,7 +25,12 @@
 	w.cancel(nil)
 	d.releaseSlot(slot, w, res)
 	d.runEnded(k, w)
-	slow := errors.Is(res.Err, errSlow) || errors.Is(res.Err, errStalled) || errors.Is(res.Err, errSilent)
+	slow := errors.Is(res.Err, errSlow) || errors.Is(res.Err, errStalled) || errors.Is(res.Err, errSilent) || errors.Is(res.Err, errFaster)
+	if res.Outcome != itemrun.Stopped || !errors.Is(res.Err, errFaster) {
+		d.mu.Lock()
+		d.releaseNext(w) // the run ended before it could be moved
+		d.mu.Unlock()
+	}
 	if res.Outcome != itemrun.Complete && (res.Outcome != itemrun.Stopped || slow) {
 		d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "instance": slot.ID, "end": string(res.Outcome),
 			"status": res.Status, "events": w.progress.Events, "runs": w.runs, "took_ms": res.Duration.Milliseconds()}).
--- a/internal/process/store/stall.go
+++ b/internal/process/store/stall.go
@@ -35,6 +35,8 @@
 // of the run writes it.
 type pulse struct {
 	last, mean atomic.Int64
+	// events is the number of events of the item so far.
+	events atomic.Int64
 }
 
 func (p *pulse) begin(now time.Time) {
--- a/internal/version/routing/config.go
+++ b/internal/version/routing/config.go
@@ -91,6 +91,8 @@
 	Slots int `json:"slots,omitempty"`
 	// KVCacheTokens is the number of tokens that fit into an engine's KV cache.
 	KVCacheTokens int `json:"memory,omitempty"`
+	// EventTokens is the number of tokens of one event of an engine's stream, zero if it is not known.
+	EventTokens int `json:"stride,omitempty"`
 	// Models lists the models that the engines can run.
 	Models []string `json:"models,omitempty"`
 	Scale  *Scale   `json:"scale,omitempty"`
--- a/pkg/process/settings/site.go
+++ b/pkg/process/settings/site.go
@@ -59,9 +59,17 @@
 	MetricsAddr string       `json:"metrics,omitempty"`
 	Bounds      Bounds       `json:"bounds"`
 	Platform    SitePlatform `json:"platform"`
+	Scheduling  Scheduling   `json:"scheduling"`
 	Logs        Logs         `json:"logs"`
 }
 
+// Scheduling switches on how a store host places the items of batches.
+type Scheduling struct {
+	// Speeds places items by the time that engines take for an event, and moves running items to
+	// faster engines.
+	Speeds bool `json:"speeds,omitempty"`
+}
+
 // Bounds are the limits that the platform requires the system to meet.
 type Bounds struct {
 	// Lease is the time that must pass after one holder of the leader tasks before
