Let calls of operators and trainers wait for an election

What callers saw: a trainer that published a weight version while control elected a leader got 503 at one process after the other, within milliseconds, and came back 2 to 3.4 s later (versions published at 12.4 s and 12.5 s were taken at 14.4 s and 15.8 s, the leader was there at 12.7 s); its next step began that late.

Cause: a control process without a leader refused at once. Callers allow a second for an answer and double their delay after each failure.

--- a/internal/process/director/operator.go
+++ b/internal/process/director/operator.go
@@ -17,6 +17,7 @@
 // PutConfig stores a validated configuration. One whose version is not higher than the
 // current one changes nothing.
 func (s *Server) PutConfig(ctx context.Context, document []byte, cfg *routing.Config) error {
+	s.awaitLeader(ctx)
 	current := uint64(0)
 	err := s.onLeader(ctx, func(*leadership) error {
 		if c := s.catalog.Public.Config; c != nil {
@@ -34,6 +35,7 @@
 // Document returns the current configuration as it was submitted, nil before the first
 // one. Only a leader with a valid lease answers.
 func (s *Server) Document(ctx context.Context) (document []byte, err error) {
+	s.awaitLeader(ctx)
 	err = s.onLeader(ctx, func(*leadership) error {
 		document = s.catalog.Document
 		return nil
@@ -43,6 +45,7 @@
 
 // PutWeight records a weight version that a trainer published for a model.
 func (s *Server) PutWeight(ctx context.Context, model string, version uint64) error {
+	s.awaitLeader(ctx)
 	current := uint64(0)
 	err := s.onLeader(ctx, func(*leadership) error {
 		current = s.catalog.Public.Weights[model]
@@ -57,6 +60,7 @@
 
 // SetZone takes an availability zone out of service or puts it back.
 func (s *Server) SetZone(ctx context.Context, zone string, out bool) error {
+	s.awaitLeader(ctx)
 	err := s.propose(ctx, &catalog.Command{Zone: &catalog.ZoneChange{Zone: zone, Out: out}})
 	s.logOutcome(err, "availability zone set", logrus.Fields{"zone": zone, "out": out})
 	return err
