Send the roster of a new leader to hosts that have only that of a disk

Cause: a host without a roster gets the one of a disk, whose weight versions may be a second old, and items that need a newer version find no engine. The new leader hears of all engines within 1.2 s, but sent its roster to hosts that had any only after 2.6 s, since it may be incomplete.

Change: a host that has the roster of a disk, or an earlier one of this leader, gets what the leader knows. It is no less complete than what the host has: both begin with the stored roster. A host with a roster of an earlier leader waits as before.

--- a/internal/process/director/leadership.go
+++ b/internal/process/director/leadership.go
@@ -21,6 +21,8 @@
 	hostTimeout = 2500 * time.Millisecond
 	// saveRosterInterval is the minimum time between two writes of the roster to the log.
 	saveRosterInterval = time.Second
+	// rosterTermShift is the position of the term in the roster revisions of a leadership.
+	rosterTermShift = 32
 	// announcementWait is how long a new leader that had no copy of the roster waits for
 	// announcements before it sends its roster: two announcement intervals of 1.2 s.
 	announcementWait = 2600 * time.Millisecond
@@ -95,7 +97,7 @@
 }
 
 func newLeadership(term uint64, now time.Time) *leadership {
-	return &leadership{term: term, since: now, roster: roster.New(term << 32), hosts: map[string]map[string]*host{}, copied: map[string]rosterCopy{},
+	return &leadership{term: term, since: now, roster: roster.New(term << rosterTermShift), hosts: map[string]map[string]*host{}, copied: map[string]rosterCopy{},
 		planner: weights.New(), limits: ratelimit.NewLedger(), streams: origin.NewTable(maxStreamRecords), accepted: map[instanceKey]uint64{}}
 }
 
@@ -114,6 +116,9 @@
 	return invalid
 }
 
+// sentRoster reports whether a roster revision is of this leadership.
+func (l *leadership) sentRoster(revision uint64) bool { return revision>>rosterTermShift == l.term }
+
 // waitedForAnnouncements reports whether announcementWait has passed since the start of
 // the leadership.
 func (l *leadership) waitedForAnnouncements(now time.Time) bool {
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -149,10 +149,18 @@
 		q.Limits < limitRevision(l, q.Role)
 }
 
-// needsRoster reports whether a host should get the roster. A host without one gets it
-// even if it may be incomplete.
+// needsRoster reports whether a host should get the roster. A host that has none, the one of a disk, or
+// one of this leader gets it even if it may be incomplete: what it has is no better. After a restart of
+// all processes, weight versions on the disk may be a second old, and items that need a newer one would
+// wait until the roster is ready.
 func (s *Server) needsRoster(l *leadership, q *fleet.Report, now time.Time) bool {
-	return q.Roster < l.rosterRevision(q.Role) && (q.Roster == 0 || s.rosterReady(l, now))
+	switch revision := l.rosterRevision(q.Role); {
+	case q.Roster >= revision:
+		return false
+	case q.Roster <= provisionalRosterRevision, l.sentRoster(q.Roster):
+		return true
+	}
+	return s.rosterReady(l, now)
 }
 
 // rosterReady reports whether the roster may replace the hosts' copies: a new leader
