Give models to engines by what they do in a second, and keep it for the next leader

Cause: engines were counted by number where models are given to them, and a new store leader took all engines for equally fast until it had measured them.

Control gives models to engines by the sum of their speeds; an engine must change by a quarter before that is done again. A store leader that has just been elected asks for the figures.

--- a/internal/process/director/leadership.go
+++ b/internal/process/director/leadership.go
@@ -55,6 +55,8 @@
 	// accepted is the number of orders that an engine has accepted, by incarnation of the
 	// instance.
 	accepted map[instanceKey]uint64
+	// eventTimes are what the leader of the store group has reported.
+	eventTimes eventTimes
 	// closingWindow is true while a usage window is being closed or reported.
 	closingWindow bool
 	// fencedAt is when a call was last rejected for an outdated fencing token.
@@ -98,7 +100,7 @@
 
 func newLeadership(term uint64, now time.Time) *leadership {
 	return &leadership{term: term, since: now, roster: roster.New(term << rosterTermShift), hosts: map[string]map[string]*host{}, copied: map[string]rosterCopy{},
-		planner: weights.New(), limits: ratelimit.NewLedger(), streams: origin.NewTable(maxStreamRecords), accepted: map[instanceKey]uint64{}}
+		planner: weights.New(), limits: ratelimit.NewLedger(), streams: origin.NewTable(maxStreamRecords), accepted: map[instanceKey]uint64{}, eventTimes: eventTimes{}}
 }
 
 // loadRoster loads the roster stored in the log. A process that has just been elected may
@@ -144,6 +146,9 @@
 	if h.leaving != q.Leaving || h.unlinked != q.Unlinked {
 		l.ranks = nil // relays may have changed
 	}
+	if q.Replica != nil && q.Replica.Leader {
+		l.eventTimes.add(q.Replica.EventTimes)
+	}
 	h.Host, h.lastReport, h.leaving, h.unlinked, h.replica = q.Host, now, q.Leaving, q.Unlinked, q.Replica
 	for _, w := range q.Usage {
 		h.usage[w.Number] = w.Counts
@@ -260,6 +265,7 @@
 	if lead := l.storeLeader(now); lead != nil {
 		d.MinVersions, d.Work = lead.replica.Least, lead.replica.Work
 	}
+	d.Speeds = l.eventTimes.speeds()
 	return d
 }
 
--- a/internal/process/director/tasks.go
+++ b/internal/process/director/tasks.go
@@ -179,7 +179,9 @@
 		return // the work of the models decides which engine follows which
 	}
 	wait := s.catalog.Public.Config.RequiresSingleVersions()
-	for _, order := range l.planner.Next(now, l.demand(s.catalog.Public.Weights, now), l.roster.Live()) {
+	live := l.roster.Live()
+	l.eventTimes.retain(live)
+	for _, order := range l.planner.Next(now, l.demand(s.catalog.Public.Weights, now), live) {
 		seq, known := l.accepted[instanceKey{order.Instance.ID, order.Instance.Born}]
 		x := WeightOrder{Order: order, FencingToken: s.fencingToken(l), Seq: seq, WaitForRuns: wait}
 		go s.sendOrder(ctx, l, x, known)
--- a/internal/process/director/update.go
+++ b/internal/process/director/update.go
@@ -54,6 +54,9 @@
 	if r := limitRevision(l, q.Role); q.Limits < r {
 		n.Limits, n.Limited = r, l.limits.Limits(now)
 	}
+	if q.Unmeasured {
+		n.EventTimes = l.eventTimes.encode()
+	}
 	n.Stores = sortedHosts(l.liveHosts(settings.RoleStore, now))
 	if q.Role == settings.RoleEntry {
 		n.Stores = l.voters(n.Stores, now)
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -146,7 +146,7 @@
 
 func (s *Server) hasUpdate(l *leadership, q *fleet.Report, now time.Time) bool {
 	return q.Leaving || q.Catalog < s.catalog.Revision || s.needsRoster(l, q, now) || q.Quarantine < s.quarantineRevision(l, q.Role) ||
-		q.Limits < limitRevision(l, q.Role)
+		q.Limits < limitRevision(l, q.Role) || q.Unmeasured && len(l.eventTimes) > 0
 }
 
 // needsRoster reports whether a host should get the roster. A host that has none, the one of a disk, or
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -93,6 +93,8 @@
 	Quarantine func([]*fleet.Case)
 	// Limits merges rate limits of servers; nil for hosts that need none.
 	Limits func([]*fleet.Limit)
+	// EventTimes stores the event times of engines; nil for hosts that need none.
+	EventTimes func([]*fleet.EventTime)
 	// Self is the address of this process, which is never called.
 	Self string
 }
@@ -369,6 +371,9 @@
 		f.cfg.Limits(n.Limited)
 		s.Limits = n.Limits
 	}
+	if f.cfg.EventTimes != nil && len(n.EventTimes) > 0 {
+		f.cfg.EventTimes(n.EventTimes)
+	}
 	f.mu.Lock()
 	if len(n.Controls) > 0 {
 		f.controls = n.Controls
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -123,6 +123,10 @@
 	tokenTime time.Duration
 	// upgradedAt is when upgradeRuns last looked at the running items.
 	upgradedAt time.Time
+	// measured is true once this leader has the event times of the one before; reported selects those
+	// that control gets.
+	measured bool
+	reported eventTimeReport
 	// term is the term in which pending was built, zero while not the leader.
 	term uint64
 }
@@ -165,6 +169,7 @@
 func (d *driver) clear() {
 	d.queue, d.pending, d.preferred, d.partials, d.term = itemqueue.New(), map[itemqueue.Key]*pendingItem{}, map[string]string{}, newPartials(), 0
 	d.endingRuns, d.scores, d.work = map[partialKey]int{}, scorequeue.New(), workEstimates{}
+	d.measured = false
 }
 
 func (d *driver) wakeUp() {
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -81,7 +81,7 @@
 		Client: cfg.Client, Log: cfg.Log, Report: s.fillReport, Changed: s.applyUpdate,
 		Limits: func(limits []*fleet.Limit) {
 			permit.LogChanges(cfg.Log, s.driver.table.Limits.Merge(limits, time.Now()))
-		}}, cfg.Site.ControlAddrs())
+		}, EventTimes: func(all []*fleet.EventTime) { s.driver.setEventTimes(all) }}, cfg.Site.ControlAddrs())
 	s.permits = permit.New(permit.Config{Host: cfg.Site.Host, Book: s.driver.table.Limits, Client: cfg.Client, Leader: s.feed.Leader,
 		Log: cfg.Log, Scope: cfg.Scope, Granted: s.driver.wakeUp})
 	return s, nil
@@ -160,6 +160,7 @@
 	q.Replica.Whole = true
 	q.Replica.Least = s.driver.minVersions()
 	q.Replica.Work = s.driver.expectedWork(time.Now())
+	s.driver.fillEventTimes(q)
 	for _, id := range st.Members.Voters() {
 		q.Replica.Voters = append(q.Replica.Voters, uint64(id))
 		if id != st.ID && st.Match[id] < st.Commit {
--- a/internal/process/weights/assign.go
+++ b/internal/process/weights/assign.go
@@ -37,6 +37,37 @@
 	shareParts, fillRounds = 12, 3
 )
 
+// Bounds of the speed of an engine, and the ratio by which it must change before models are assigned again:
+// an engine beside others on its machine changes by a fifth from second to second.
+const (
+	minSpeed, maxSpeed = 0.25, 4.0
+	speedChange        = 1.25
+)
+
+// updateSpeeds takes over the speeds of engines that have changed.
+func (p *Planner) updateSpeeds(d Demand, engines []roster.Instance) {
+	for _, e := range engines {
+		v, ok := d.Speeds[e.ID]
+		if !ok || !(v > 0) {
+			continue
+		}
+		v = min(maxSpeed, max(minSpeed, v))
+		key := instanceKey{e.ID, e.Born}
+		if last := p.speeds[key]; last == 0 || v > speedChange*last || v < last/speedChange {
+			p.speeds[key] = v
+		}
+	}
+}
+
+// speedOf returns the work that an engine does in a second, relative to the average engine: 1 if it is not
+// known.
+func (p *Planner) speedOf(e roster.Instance) float64 {
+	if v := p.speeds[instanceKey{e.ID, e.Born}]; v > 0 {
+		return v
+	}
+	return 1
+}
+
 // assignment spreads the models of which trainers have published a version over engines that
 // run the same models.
 type assignment struct {
@@ -44,11 +75,15 @@
 	engines []roster.Instance
 	// models are the published models, those with the largest share first.
 	models []string
+	// speed is the speed of each engine by ID, in average engines: the speeds add up to the engines.
+	speed map[string]float64
 	// share is the work of each model in engines: the shares add up to the engines.
 	share map[string]float64
-	// followers counts the engines that follow a model, inZone by availability zone.
+	// followers counts the engines that follow a model, inZone by availability zone. capacity is the sum of
+	// their speeds.
 	followers map[string]int
 	inZone    map[string]map[string]int
+	capacity  map[string]float64
 }
 
 // assignModels updates which models each ready engine follows.
@@ -61,8 +96,9 @@
 		}
 	}
 	p.removeStopped(engines)
+	p.updateSpeeds(d, engines)
 	for key, all := range groups {
-		if s := signature(d, all); p.signatures[key] != s {
+		if s := p.signature(d, all); p.signatures[key] != s {
 			p.newAssignment(d, all).update()
 			p.signatures[key] = s
 		}
@@ -71,7 +107,7 @@
 
 // signature returns a text that changes when the engines of a group, the published models or
 // the work change enough to assign the models again.
-func signature(d Demand, engines []roster.Instance) string {
+func (p *Planner) signature(d Demand, engines []roster.Instance) string {
 	var out strings.Builder
 	for _, m := range slices.Sorted(maps.Keys(engines[0].Weights)) {
 		if d.Published[m] > 0 {
@@ -79,7 +115,7 @@
 		}
 	}
 	for _, e := range engines {
-		fmt.Fprintf(&out, "%s %d\n", e.ID, e.Born)
+		fmt.Fprintf(&out, "%s %d %.2f\n", e.ID, e.Born, p.speedOf(e))
 	}
 	return out.String()
 }
@@ -94,10 +130,20 @@
 			delete(p.assigned, s)
 		}
 	}
+	maps.DeleteFunc(p.speeds, func(k instanceKey, _ float64) bool { return !live[k] })
 }
 
 func (p *Planner) newAssignment(d Demand, engines []roster.Instance) *assignment {
-	a := &assignment{p: p, engines: engines, share: map[string]float64{}, followers: map[string]int{}, inZone: map[string]map[string]int{}}
+	a := &assignment{p: p, engines: engines, speed: map[string]float64{}, share: map[string]float64{}, followers: map[string]int{},
+		inZone: map[string]map[string]int{}, capacity: map[string]float64{}}
+	total := 0.0
+	for _, e := range engines {
+		a.speed[e.ID] = p.speedOf(e)
+		total += a.speed[e.ID]
+	}
+	for id := range a.speed {
+		a.speed[id] *= float64(len(engines)) / total
+	}
 	for m := range engines[0].Weights {
 		if d.Published[m] > 0 {
 			a.models = append(a.models, m)
@@ -109,7 +155,7 @@
 		key := instanceKey{e.ID, e.Born}
 		p.assigned[key] = slices.DeleteFunc(p.assigned[key], func(m string) bool { return !slices.Contains(a.models, m) })
 		for _, m := range p.assigned[key] {
-			a.count(m, e.Zone, 1)
+			a.count(m, e, 1)
 		}
 	}
 	return a
@@ -144,12 +190,12 @@
 		return
 	}
 	for _, m := range a.models {
-		for a.followers[m] > a.floor() && float64(a.followers[m])-a.share[m] > shareSurplus {
+		for a.followers[m] > a.floor() && a.capacity[m]-a.share[m] > shareSurplus {
 			a.drop(a.mostLoaded(m), m)
 		}
 	}
 	for _, m := range a.models {
-		for a.followers[m] < a.wanted(m) {
+		for a.followers[m] < len(a.engines) && (a.followers[m] < a.floor() || a.capacity[m] < a.share[m]-shareSlack) {
 			a.add(a.leastLoaded(m), m)
 		}
 	}
@@ -189,7 +235,7 @@
 		return cmp.Or(cmp.Compare(placed[y][busiest.ID], placed[x][busiest.ID]), cmp.Compare(x, y))
 	})
 	for _, m := range models {
-		if float64(a.followers[m]+1)-a.share[m] > shareSurplus {
+		if a.capacity[m]+1-a.share[m] > shareSurplus {
 			continue
 		}
 		others := a.candidates(m, false)
@@ -223,8 +269,9 @@
 				e := slices.MinFunc(followers, func(x, y roster.Instance) int {
 					return cmp.Or(cmp.Compare(load[x.ID], load[y.ID]), cmp.Compare(x.ID, y.ID))
 				})
-				load[e.ID] += a.share[m] / float64(parts)
-				placed[m][e.ID] += a.share[m] / float64(parts)
+				part := a.share[m] / float64(parts) / a.speed[e.ID]
+				load[e.ID] += part
+				placed[m][e.ID] += part
 			}
 		}
 	}
@@ -234,17 +281,13 @@
 // floor is the number of engines that follow a model in any case.
 func (a *assignment) floor() int { return min(minFollowers, len(a.engines)) }
 
-// wanted is the number of engines that should follow a model.
-func (a *assignment) wanted(m string) int {
-	return min(len(a.engines), max(a.floor(), int(math.Ceil(a.share[m]-shareSlack))))
-}
-
-func (a *assignment) count(m, zone string, n int) {
+func (a *assignment) count(m string, e roster.Instance, n int) {
 	a.followers[m] += n
-	if a.inZone[zone] == nil {
-		a.inZone[zone] = map[string]int{}
+	a.capacity[m] += float64(n) * a.speed[e.ID]
+	if a.inZone[e.Zone] == nil {
+		a.inZone[e.Zone] = map[string]int{}
 	}
-	a.inZone[zone][m] += n
+	a.inZone[e.Zone][m] += n
 }
 
 func (a *assignment) modelsOf(e roster.Instance) []string {
@@ -254,13 +297,13 @@
 func (a *assignment) add(e roster.Instance, m string) {
 	key := instanceKey{e.ID, e.Born}
 	a.p.assigned[key] = append(a.p.assigned[key], m)
-	a.count(m, e.Zone, 1)
+	a.count(m, e, 1)
 }
 
 func (a *assignment) drop(e roster.Instance, m string) {
 	key := instanceKey{e.ID, e.Born}
 	a.p.assigned[key] = slices.DeleteFunc(a.p.assigned[key], func(x string) bool { return x == m })
-	a.count(m, e.Zone, -1)
+	a.count(m, e, -1)
 }
 
 // level rounds a load to fifths of an engine, so that other reasons decide between engines that
@@ -301,7 +344,7 @@
 // neediest returns the model that an engine without one should follow.
 func (a *assignment) neediest(e roster.Instance) string {
 	return slices.MaxFunc(a.models, func(x, y string) int {
-		return cmp.Or(cmp.Compare(a.share[x]/float64(a.followers[x]), a.share[y]/float64(a.followers[y])),
+		return cmp.Or(cmp.Compare(a.share[x]/a.capacity[x], a.share[y]/a.capacity[y]),
 			cmp.Compare(a.inZone[e.Zone][y], a.inZone[e.Zone][x]), cmp.Compare(y, x))
 	})
 }
--- a/internal/process/weights/assign_test.go
+++ b/internal/process/weights/assign_test.go
@@ -213,3 +213,42 @@
 		}
 	}
 }
+
+// TestModelsShareFastEngines gives three models of the same work to 45 engines, of which the first twelve take
+// half the time of the others. It guards against engines that are counted by number: a model with three fast
+// engines then has 0.8 of the capacity of one with six.
+func TestModelsShareFastEngines(t *testing.T) {
+	speed := func(id string) float64 {
+		if id < "e012" {
+			return 2.2
+		}
+		return 1
+	}
+	f := newFleet(45, map[string]float64{"a": 1, "b": 1, "c": 1})
+	f.planner.Next(f.now, f.demand, f.engines)
+	capacity := func() map[string]float64 {
+		out := map[string]float64{}
+		for _, e := range f.engines {
+			for _, m := range f.planner.assigned[instanceKey{e.ID, e.Born}] {
+				out[m] += speed(e.ID)
+			}
+		}
+		return out
+	}
+	f.demand.Speeds = map[string]float64{}
+	for _, e := range f.engines {
+		f.demand.Speeds[e.ID] = speed(e.ID)
+	}
+	f.planner.Next(f.now, f.demand, f.engines)
+	got := capacity()
+	if least, most := min(got["a"], got["b"], got["c"]), max(got["a"], got["b"], got["c"]); most > 1.15*least {
+		t.Errorf("the models have a capacity of %v", got)
+	}
+	before := fmt.Sprint(f.planner.assigned)
+	for id := range f.demand.Speeds {
+		f.demand.Speeds[id] *= 1.03
+	}
+	if f.planner.Next(f.now, f.demand, f.engines); fmt.Sprint(f.planner.assigned) != before {
+		t.Error("noise of a few percent moved models to other engines")
+	}
+}
--- a/internal/process/weights/weights.go
+++ b/internal/process/weights/weights.go
@@ -91,6 +91,8 @@
 	pending map[string]*pendingOrder
 	// assigned holds the models that each engine follows.
 	assigned map[instanceKey][]string
+	// speeds holds the speed of the engines that the assignment goes by.
+	speeds map[instanceKey]float64
 	// signatures holds what the models of a group of engines were assigned by.
 	signatures map[string]string
 	// newest holds the latest version of each model and when it was first seen.
@@ -123,7 +125,7 @@
 
 // New returns a planner without orders.
 func New() *Planner {
-	return &Planner{pending: map[string]*pendingOrder{}, assigned: map[instanceKey][]string{}, newest: map[string]versionSeen{},
+	return &Planner{pending: map[string]*pendingOrder{}, assigned: map[instanceKey][]string{}, speeds: map[instanceKey]float64{}, newest: map[string]versionSeen{},
 		signatures: map[string]string{}}
 }
 
@@ -136,6 +138,9 @@
 	// Work holds the expected work of a step, in any unit; models without it count as
 	// average.
 	Work map[string]float64
+	// Speeds holds the work that engines do in a second by instance ID, in any unit; engines without it
+	// count as average.
+	Speeds map[string]float64
 }
 
 // Next returns the orders that are due and records them as given.
