--- a/pkg/process/replica/wire.go
+++ b/pkg/process/replica/wire.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"github.com/plantainbank/plantainbank/pkg/process/disk"
@@ -56,6 +57,9 @@
 		}
 		m.Snapshot = &quorum.Snapshot{Index: x.Index, Term: x.Term, Members: members, Data: x.Data}
 	}
+	if m.Kind == quorum.MsgSnapshot && m.Snapshot == nil {
+		return m, errors.New("message of the kind that carries a snapshot has none")
+	}
 	return m, nil
 }
 
