Choose engines by the prompts that they have cached

Callers' items waited for prompts of about 1,000 tokens that another engine had already read: the choice knew only the engine that ran an item of the group last, and took it up to two requests above the lowest load, so that a group of 16 was read at five or more engines. Requirement gets Saved, Events and Level. With Saved nil the choice is as before; long items ignore it.

--- a/internal/connection/placement/requirement.go
+++ b/internal/connection/placement/requirement.go
@@ -24,6 +24,14 @@
 	// Fast prefers the fastest server: the request takes most of the time that is left for
 	// it, and its duration depends far more on the server's pace than on its load.
 	Fast bool
+	// Saved returns the reading time that the request saves at a server that has a part of its
+	// prompt cached. If it is nil, Prefer decides; else Events and Level are used too, not Prefer.
+	Saved func(id string, born int64) time.Duration
+	// Events is the number of events that the request is expected to produce yet.
+	Events float64
+	// Level is the cost up to which a server with the prompt may be loaded: the result of Table.Level, or
+	// 0 for the cost of the best server.
+	Level float64
 	// Strict excludes servers whose slots are all in use. Without it the server
 	// with the lowest cost gets the request even if it is full.
 	Strict bool
--- a/internal/connection/placement/table.go
+++ b/internal/connection/placement/table.go
@@ -221,6 +221,7 @@
 	var best, preferred, limited *server
 	least, preferredCost, leastLimited := 0.0, 0.0, 0.0
 	stale := false
+	var cached []scored
 	for _, s := range t.servers {
 		if !t.usable(s, req, now) {
 			continue
@@ -238,6 +239,11 @@
 		if best == nil || cost < least || cost == least && s.ID < best.ID {
 			best, least = s, cost
 		}
+		if req.Saved != nil && !req.Fast {
+			if saved := req.Saved(s.ID, s.Born); saved > 0 {
+				cached = append(cached, scored{s, cost, saved})
+			}
+		}
 		if s.ID == req.Prefer {
 			preferred, preferredCost = s, cost
 		}
@@ -245,7 +251,10 @@
 	if limited != nil && (best == nil || stale || leastLimited+limitedCost < least) {
 		t.askPermit(limited, req, now)
 	}
-	if preferred != nil && !req.Fast && preferredCost <= least+preferSlack {
+	if s := t.chooseCached(&req, best, median, cached); s != nil {
+		return s
+	}
+	if preferred != nil && !req.Fast && req.Saved == nil && preferredCost <= least+preferSlack {
 		return preferred
 	}
 	return best
--- a/internal/request/promptcache/cache.go
+++ b/internal/request/promptcache/cache.go
@@ -130,6 +130,15 @@
 	}
 }
 
+// Reset discards all parts. Requests that are running still count.
+func (c *Cache) Reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.engines {
+		c.discard(e, func(*held) bool { return true })
+	}
+}
+
 // Cached returns the number of tokens of the shared parts of a prompt that an engine need not read.
 func (c *Cache) Cached(id departure.Incarnation, model string, p Prompt) int {
 	c.mu.Lock()
@@ -144,11 +153,37 @@
 	return n
 }
 
-// Held reports whether any engine holds the first part of a prompt.
-func (c *Cache) Held(model string, p Prompt) bool {
+// Holders returns the engines that need not read some of the shared parts of a prompt, with the number of
+// tokens of these parts.
+func (c *Cache) Holders(model string, p Prompt) map[departure.Incarnation]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(p) > 1 && len(c.holders[partKey{model, p[0].ID}]) > 0
+	out := map[departure.Incarnation]int{}
+	before := 0
+	for i, x := range p.Shared() {
+		for id := range c.holders[partKey{model, x.ID}] {
+			if i == 0 || out[id] == before {
+				out[id] = before + x.Tokens
+			}
+		}
+		before += x.Tokens
+	}
+	return out
+}
+
+// Known returns the number of tokens of the shared parts of a prompt, up to the first one that no engine
+// holds.
+func (c *Cache) Known(model string, p Prompt) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, x := range p.Shared() {
+		if len(c.holders[partKey{model, x.ID}]) == 0 {
+			break
+		}
+		n += x.Tokens
+	}
+	return n
 }
 
 // Size returns the number of engines, of parts at them, and of the tokens of these parts.
@@ -172,8 +207,16 @@
 	tokens  int
 	started bool
 	ended   bool
-	// Cached is the number of tokens that the engine is expected not to read.
-	Cached int
+	// cached is the number of tokens that the engine is expected not to read.
+	cached int
+}
+
+// Saved returns the number of tokens that the engine is expected not to read.
+func (r *Run) Saved() int {
+	if r == nil {
+		return 0
+	}
+	return r.cached
 }
 
 // Begin records that a request is sent to an engine. tokens is the memory that it will take besides the
@@ -190,7 +233,7 @@
 	cached := true
 	for _, x := range r.prompt {
 		if cached = cached && c.holders[partKey{model, x.ID}][id] != nil; cached {
-			r.Cached += x.Tokens
+			r.cached += x.Tokens
 		}
 	}
 	c.use(r)
