Place the items of batches by cached prompts

The store leader takes the parts of a prompt from the headers of the item, which are stored already, so that nothing in the log changes; httpheader.Names has the name. The line run started has shared, cached and choice; counters say how many tokens were saved, read and read again, and which choices followed a cached prompt.

--- a/internal/connection/httpheader/httpheader.go
+++ b/internal/connection/httpheader/httpheader.go
@@ -45,6 +45,8 @@
 	// Resumes is the ID of the caller attempt that brought the first event of the stream that a
 	// request takes up.
 	Resumes string
+	// PromptPrefix lists the parts of an item's prompt in order, as promptcache.Parse reads them.
+	PromptPrefix string
 }
 
 // Reserved reports whether a header of an item's request is set by the system only, whatever its
--- a/internal/process/store/checkpoint.go
+++ b/internal/process/store/checkpoint.go
@@ -87,7 +87,7 @@
 
 // newPendingItem returns a pending item with the progress of its earlier runs.
 func (d *driver) newPendingItem(b *batch.Batch, item batch.Item) *pendingItem {
-	w := &pendingItem{batch: b, item: item, term: d.term}
+	w := &pendingItem{batch: b, item: item, term: d.term, promptState: d.promptOf(&item)}
 	if stored := item.Partial; stored != nil && b.AllowsVersions(stored.Versions) {
 		text, err := stored.Text()
 		if err != nil {
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -81,6 +81,7 @@
 	slot  placement.Slot
 	pulse pulse
 	next  *placement.Slot
+	promptState
 }
 
 // reset discards the progress of earlier runs.
@@ -123,6 +124,8 @@
 	tokenTime time.Duration
 	// upgradedAt is when upgradeRuns last looked at the running items.
 	upgradedAt time.Time
+	// prompts places items by cached prompts, nil if that is switched off.
+	prompts *prompts
 	// term is the term in which pending was built, zero while not the leader.
 	term uint64
 }
@@ -144,6 +147,7 @@
 		Departures: s.departureReader(d.table)}
 	d.table.Connected = s.cfg.Engines.Idle
 	d.table.ByEventTime = s.cfg.Site.Scheduling.Speeds
+	d.prompts = newPrompts(s.cfg.Site.Scheduling.Prompts, s.cfg.Headers.PromptPrefix)
 	d.scoreTable = placement.NewTable()
 	d.scoreTable.Limits, d.scoreTable.Departures = d.table.Limits, d.table.Departures
 	d.scoreTable.Zone, d.scoreTable.Connected = s.cfg.Site.Zone, s.cfg.Engines.Idle
@@ -165,6 +169,7 @@
 func (d *driver) clear() {
 	d.queue, d.pending, d.preferred, d.partials, d.term = itemqueue.New(), map[itemqueue.Key]*pendingItem{}, map[string]string{}, newPartials(), 0
 	d.endingRuns, d.scores, d.work = map[partialKey]int{}, scorequeue.New(), workEstimates{}
+	d.prompts.reset()
 }
 
 func (d *driver) wakeUp() {
@@ -179,6 +184,7 @@
 	d.table.Update(st.Instances, st.Public.ZonesOut, st.Table, 1)
 	d.table.Limits.SetTurn(0, st.EntryHosts+1)
 	d.updateScoreTable(st)
+	d.prompts.update(st)
 	d.mu.Lock()
 	d.state = st
 	d.mu.Unlock()
@@ -337,7 +343,9 @@
 	now := time.Now()
 	d.upgradeRuns(now)
 	full := map[requirementKey]bool{}
-	for _, x := range d.queue.Runnable(now) {
+	items := d.queue.Runnable(now)
+	d.orderByPrompt(items, now)
+	for _, x := range items {
 		w := d.pending[x.Key]
 		if w == nil {
 			d.queue.Done(x.Key)
@@ -426,6 +434,7 @@
 	group := w.batch.ID + " " + w.item.Group
 	req := placement.Requirement{Service: w.service, Model: w.batch.Model, MinVersion: w.batch.MinVersion, Prefer: d.preferred[group],
 		Software: software, Avoid: w.avoid, Strict: true, Fast: d.isLong(w, now), Priority: d.state.Table.Priority(route, w.batch.Workspace)}
+	d.requirePrompt(&req, w, now)
 	slot, ok := d.takeSlot(w, req, now)
 	if !ok {
 		full[key] = len(w.avoid) == 0
@@ -442,10 +451,12 @@
 	runCtx, cancel := context.WithCancelCause(ctx)
 	w.cancel, w.running, w.slot = cancel, true, slot
 	w.pulse.begin(now)
+	d.beginPrompt(w, slot)
 	d.s.log.WithFields(logrus.Fields{"batch": k.Batch, "item": k.Item, "instance": slot.ID, "prefer": req.Prefer,
-		"running": slot.Running, "roster": d.state.Roster, "run": w.runs, "events": w.progress.Events}).Debug("run started")
+		"running": slot.Running, "roster": d.state.Roster, "run": w.runs, "events": w.progress.Events,
+		"shared": w.prompt.Shared().Tokens(), "cached": w.cached.Saved(), "choice": w.choice}).Debug("run started")
 	w.blockedAt = time.Time{}
-	req.Avoid, req.Software = nil, &slot.Software // its later moves
+	req.Avoid, req.Software, req.Saved = nil, &slot.Software, nil // its later moves
 	go d.runItem(runCtx, ctx, k, w, slot, req)
 }
 
--- a/internal/process/store/pace.go
+++ b/internal/process/store/pace.go
@@ -89,6 +89,7 @@
 	report := p.observe(now)
 	if p.events == 1 {
 		d.table.Started(slot)
+		w.promptRead()
 	}
 	w.pulse.beat(now, p.mean)
 	w.pulse.events.Store(int64(w.progress.Events))
--- a/internal/process/store/run.go
+++ b/internal/process/store/run.go
@@ -23,6 +23,7 @@
 		d.watchPace(p, w, slot, req)
 	})
 	w.cancel(nil)
+	d.endPrompt(w, p, res)
 	d.releaseSlot(slot, w, res)
 	d.runEnded(k, w)
 	slow := errors.Is(res.Err, errSlow) || errors.Is(res.Err, errStalled) || errors.Is(res.Err, errSilent) || errors.Is(res.Err, errFaster)
--- a/pkg/process/settings/site.go
+++ b/pkg/process/settings/site.go
@@ -68,6 +68,16 @@
 	// Speeds places items by the time that engines take for an event, and moves running items to
 	// faster engines.
 	Speeds bool `json:"speeds,omitempty"`
+	// Prompts is the least number of shared tokens of a prompt with which items go to engines that have
+	// it cached; 0 switches that off.
+	Prompts int `json:"prompts,omitempty"`
+}
+
+// maxSharedTokens bounds Scheduling.Prompts.
+const maxSharedTokens = 1_000_000
+
+func (s Scheduling) check() error {
+	return strictjson.Require("scheduling.prompts", s.Prompts >= 0 && s.Prompts <= maxSharedTokens, "must be 0 to 1,000,000 tokens")
 }
 
 // Bounds are the limits that the platform requires the system to meet.
@@ -117,6 +127,7 @@
 		c.checkRole(),
 		c.Bounds.check(),
 		checkOptionalAddress("platform.addr", c.Platform.Addr),
+		c.Scheduling.check(),
 		c.Logs.check(),
 	)
 }
