--- a/internal/connection/placement/prompt.go
+++ b/internal/connection/placement/prompt.go
@@ -98,8 +98,8 @@
 }
 
 // Free returns the incarnations of the servers that may get a request now and have a free slot, once for
-// each free slot. It returns nil if there are more than limit such slots.
-func (t *Table) Free(req Requirement, limit int, now time.Time) []departure.Incarnation {
+// each free slot. It returns false if there are more than limit such slots.
+func (t *Table) Free(req Requirement, limit int, now time.Time) ([]departure.Incarnation, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []departure.Incarnation
@@ -109,10 +109,10 @@
 		}
 		for range s.Slots - s.running {
 			if len(out) == limit {
-				return nil
+				return nil, false
 			}
 			out = append(out, departure.Incarnation{ID: s.ID, Born: s.Born})
 		}
 	}
-	return out
+	return out, true
 }
--- a/internal/connection/placement/prompt_test.go
+++ b/internal/connection/placement/prompt_test.go
@@ -149,7 +149,7 @@
 }
 
 func (s *step) order(req Requirement, items []*stepItem, now time.Time) []*stepItem {
-	free := s.table.Free(req, promptcache.MaxFree, now)
+	free, _ := s.table.Free(req, promptcache.MaxFree, now)
 	if len(free) == 0 || len(free) >= len(items) {
 		return items
 	}
--- a/internal/process/store/prompts.go
+++ b/internal/process/store/prompts.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -228,11 +229,13 @@
 
 // orderKey orders the items at some positions, which require the same.
 func (d *driver) orderKey(key requirementKey, items []*itemqueue.Item, at []int, now time.Time) {
-	if len(at) < 2 {
+	free, few := d.table.Free(placement.Requirement{Service: key.service, Model: key.model, MinVersion: key.minVersion, Strict: true},
+		promptcache.MaxFree, now)
+	if !few || len(free) > len(at) {
 		return
 	}
-	free := d.table.Free(placement.Requirement{Service: key.service, Model: key.model, MinVersion: key.minVersion, Strict: true}, promptcache.MaxFree, now)
-	if len(free) == 0 || len(free) >= len(at) {
+	d.prompts.levels[key] = math.Inf(1) // all engines will be full
+	if len(free) == 0 || len(free) == len(at) {
 		return
 	}
 	at = at[:min(len(at), promptcache.Lookahead+len(free))]
