Let items pass by their prompt within a batch

Items were read at engines without their prompt although another item of the batch had its prompt there: only items with about the same expected run time changed places, a third of those that wait. Items of one batch that are not long change places now, among the next 64, each passed at most 32 times, which is about 0.3 s; such items have three times their run time left or more.

--- a/internal/process/store/prompts.go
+++ b/internal/process/store/prompts.go
@@ -14,13 +14,8 @@
 	"github.com/plantainbank/plantainbank/internal/request/promptcache"
 )
 
-const (
-	// defaultEvents is the expected number of events of an item without a length estimate.
-	defaultEvents = 16
-	// classResolution is the difference of the expected run times of items that are equally urgent, the
-	// resolution of the queue.
-	classResolution = 500 * time.Millisecond
-)
+// defaultEvents is the expected number of events of an item without a length estimate.
+const defaultEvents = 16
 
 // Choices of an engine, by what it has cached of the prompt.
 const (
@@ -200,8 +195,8 @@
 }
 
 // orderByPrompt counts the runnable items by what they require. Where there are few free slots for them, it
-// moves items forward whose prompt is cached at an engine with a free slot, among equally urgent ones. The
-// caller holds d.mu.
+// moves items forward whose prompt is cached at an engine with a free slot, past items of the same batch that
+// are not long: these have three times their run time left or more. The caller holds d.mu.
 func (d *driver) orderByPrompt(items []*itemqueue.Item, now time.Time) {
 	p := d.prompts
 	if p == nil {
@@ -247,7 +242,7 @@
 		before[i] = x
 		waiting[i] = promptcache.Waiting{Prompt: w.prompt, Passed: w.passed}
 		if !x.HasProgress && w.prompt != nil && w.next == nil && len(w.avoid) == 0 && !d.isLong(w, now) {
-			waiting[i].Class = promptcache.Class{Batch: x.Batch, Start: int64(x.Estimate / classResolution)}
+			waiting[i].Class = x.Batch
 		}
 	}
 	for i, k := range d.prompts.cache.Order(key.model, free, waiting) {
--- a/internal/request/promptcache/order.go
+++ b/internal/request/promptcache/order.go
@@ -8,34 +8,27 @@
 
 const (
 	// Lookahead is the number of waiting items among which one whose prompt is cached at a free engine is
-	// looked for: two groups.
-	Lookahead = 32
+	// looked for: four groups.
+	Lookahead = 64
 	// maxPassed bounds how often an item is passed. Slots become free each 10 ms, so an item starts at most
-	// about 0.2 s later than without the rule, and others the earlier.
-	maxPassed = 16
+	// about 0.3 s later than without the rule, and others the earlier.
+	maxPassed = 32
 	// MaxFree is the number of free slots up to which items change places. With more, most items find an
 	// engine that has their prompt in any order.
 	MaxFree = 8
 )
 
-// Class identifies items that are equally urgent; the zero Class holds one item only.
-type Class struct {
-	Batch string
-	// Start is the time at which the items should start, in units of the caller.
-	Start int64
-}
-
 // Waiting is an item that waits for a slot.
 type Waiting struct {
 	Prompt Prompt
-	// Class names the items that it may change places with. An item with the zero class is not passed.
-	Class Class
+	// Class names the items that it may change places with. An item with an empty class is not passed.
+	Class string
 	// Passed is how often items behind it have started before it.
 	Passed int
 }
 
 // Order returns the positions of the first items that should start at the free slots of engines: those
-// whose prompt is cached there first, among equally urgent ones. All other items keep their order. It
+// whose prompt is cached there first, among those of one class. All other items keep their order. It
 // increases Passed of the items that are passed.
 //
 // Load pattern: a step has more items than there are slots. After its first items, slots become free one at
@@ -64,7 +57,7 @@
 	head := &items[rest[0]]
 	for k, i := range rest[:min(len(rest), Lookahead)] {
 		x := &items[i]
-		if k > 0 && (head.Class == (Class{}) || x.Class != head.Class) {
+		if k > 0 && (head.Class == "" || x.Class != head.Class) {
 			break
 		}
 		for f, id := range free {
