--- a/internal/process/store/prompts.go
+++ b/internal/process/store/prompts.go
@@ -83,7 +83,7 @@
 	p.cache.Update(all)
 }
 
-// promptOf returns the parts of an item's prompt, or nil if it is placed regardless of its prompt.
+// promptOf returns the parts of an item's prompt, none if the item is placed regardless of it.
 func (d *driver) promptOf(item *batch.Item) promptState {
 	if d.prompts == nil {
 		return promptState{}
