--- a/internal/request/promptcache/cache_test.go
+++ b/internal/request/promptcache/cache_test.go
@@ -63,6 +63,13 @@
 		all[0].Versions = map[string]uint64{"m": 2, "n": 1}
 		c.Update(all)
 	}
+	// changed runs a request at an engine that changes before its first event.
+	changed := func(c *Cache, p Prompt, change func(*Cache), first, last uint64) {
+		r := c.Begin(e0, "m", p, 16)
+		change(c)
+		r.Started(first)
+		r.End(last)
+	}
 	for _, x := range []struct {
 		name   string
 		play   func(*Cache, Prompt)
@@ -87,32 +94,15 @@
 		}, 0},
 		{"weights loaded between the choice and the arrival", func(c *Cache, p Prompt) {
 			read(c, e0, "m", p)
-			r := c.Begin(e0, "m", p, 16)
-			newer(c)
-			r.Started(2)
-			r.End(2)
+			changed(c, p, newer, 2, 2)
 		}, 1000},
-		{"weights loaded after the first event", func(c *Cache, p Prompt) {
-			r := c.Begin(e0, "m", p, 16)
-			r.Started(1)
-			r.End(2)
-		}, 0},
-		{"an old response after a load", func(c *Cache, p Prompt) {
-			r := c.Begin(e0, "m", p, 16)
-			newer(c)
-			r.Started(1)
-			r.End(1)
-		}, 0},
+		{"weights loaded after the first event", func(c *Cache, p Prompt) { changed(c, p, func(*Cache) {}, 1, 2) }, 0},
+		{"an old response after a load", func(c *Cache, p Prompt) { changed(c, p, newer, 1, 1) }, 0},
 		{"weights of another model loaded", func(c *Cache, p Prompt) { read(c, e0, "m", p); c.Begin(e0, "n", p, 16).Started(2) }, 1000},
 		{"an older roster", func(c *Cache, p Prompt) { c.Begin(e0, "m", p, 16).Started(3); newer(c) }, 1000},
 		{"restarted between the choice and the arrival", func(c *Cache, p Prompt) {
 			read(c, e0, "m", p)
-			r := c.Begin(e0, "m", p, 16)
-			all := engines()
-			all[0].Born = 2
-			c.Update(all)
-			r.Started(1)
-			r.End(1)
+			changed(c, p, func(c *Cache) { all := engines(); all[0].Born = 2; c.Update(all) }, 1, 1)
 		}, 0},
 		{"a new leader", func(c *Cache, p Prompt) { read(c, e0, "m", p); c.Reset() }, 0},
 		{"an unknown engine", func(c *Cache, p Prompt) { read(c, departure.Incarnation{ID: "x"}, "m", p) }, 0},
