Order waiting items by a forecast beyond capacity, and keep the order between dispatches

Sorting 2,048 waiting items took 4.65 ms, up to 250 times a second.

Cause: beyond capacity the order by latest start works on all groups at once. Each comparison of two items looked up both groups in a map with string keys, and each dispatch sorted everything.

Change: Queue.Plan ranks groups by the forecast and by the service that trainers have received, only if not all groups can be complete in time. The order is kept, and a dispatch sorts the items of changed groups only.

Why it works: accepted groups fit together and run first, in the order by latest start, so their long items still start first; late groups and those that cannot be complete use what is left.

In normal load no plan changes the order.

--- a/internal/request/itemqueue/doc.go
+++ b/internal/request/itemqueue/doc.go
@@ -15,6 +15,12 @@
 // then the others in submission order. An item that is requeued with the events of an
 // earlier run precedes all others, because its group has already started.
 //
+// Beyond capacity that order makes every step late, one after another. A plan, made a few times a second, therefore
+// forecasts which groups can be complete in time (package forecast). If not all can, those of higher priority and
+// those that can be complete go first, chosen so that trainers get equal shares (package fairshare); among them the
+// order is as above. The order is kept between dispatches, and only the items of groups that have changed
+// are sorted again.
+//
 // Rejected alternative: ordering by groups in submission order alone. Long items then
 // start up to two seconds late and determine when the step ends.
 package itemqueue
