Divide capacity among trainers and refuse submissions that cannot be served

What callers saw: beyond capacity a trainer got engines in proportion to what it submits, and a submission that no engine can run, or that takes the store leader over its memory, was accepted.

Cause: the store leader neither counts service nor forecasts, and has no limit of its own.

Change: with scheduling.fair the store leader plans the order of the waiting items by forecast and share, at most five times a second and at once after a batch is accepted or ended. With scheduling.refuse it refuses a new submission that no engine has been able to run for 5 s, that takes the open batches over scheduling.open, or of which no group could be complete before its items expire. Batches.Submit then returns resource_exhausted with retryms; the entry host answers 503 with Retry-After, or 500 if an earlier call of the same submission had no clear answer. A dispatch keeps the route of an item, and skips items that need what was just found full.

Why it works: the leader runs all items, so it knows the whole load. A submission is refused only while no other call of it has proposed it, and before it is proposed, so no store host has it.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -48,6 +48,10 @@
 // LeaderMeta is the key of the error metadata that holds the leader's address.
 const LeaderMeta = "leader"
 
+// RetryMeta is the key of the error metadata of a refused submission that holds the time after which it may be
+// sent again, in milliseconds.
+const RetryMeta = "retryms"
+
 // errProvisional means that an update came from a process that is not the leader.
 var errProvisional = errors.New("no leader is known yet")
 
--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -91,6 +91,8 @@
 				return nil
 			case errors.As(err, &e) && (e.Code() == twirp.NotFound || e.Code() == twirp.InvalidArgument):
 				return err
+			case refusedError(err) != nil:
+				return err
 			case errors.As(err, &e) && e.Code() == twirp.FailedPrecondition:
 				lead = namedLeader(err, addr)
 			case !unsent(err):
@@ -191,8 +193,8 @@
 // valid UTF-8.
 func validID(id string) bool { return id != "" && utf8.ValidString(id) }
 
-// Submit stores a batch, once. The error is ErrNotStored if it is definitely not stored,
-// ErrOutcomeUnknown if it may be, and a *batch.EncodeError if it never can be. A batch whose caller has disconnected is not stored: this
+// Submit stores a batch, once. The error is ErrNotStored if it is definitely not stored, a *RefusedError if
+// the store group has also refused it, ErrOutcomeUnknown if it may be, and a *batch.EncodeError if it never can be. A batch whose caller has disconnected is not stored: this
 // process may have been suspended since it received the batch, and the caller may have ended it.
 func (s *Server) Submit(ctx context.Context, x *batch.Batch, disconnected func() bool) error {
 	data, err := x.Encode()
@@ -217,6 +219,10 @@
 	case err == nil:
 		entry.Info("batch handed in")
 		return nil
+	case o.Definite && refusedError(err) != nil:
+		s.cfg.Scope.Counter("submissions_refused").Inc(1)
+		entry.WithError(err).Debug("batch refused by the store group")
+		return refusedError(err)
 	case o.Definite:
 		entry.WithError(err).Warn("could not submit batch")
 		return ErrNotStored
--- a/internal/process/store/batches.go
+++ b/internal/process/store/batches.go
@@ -32,15 +32,23 @@
 	if b.ID == "" || b.ID != q.Id {
 		return nil, twirp.InvalidArgumentError("id", "does not match the batch")
 	}
-	known := false
+	known, unknown := false, false
+	s.driver.submissions.begin(b.ID)
+	defer func() { s.driver.submissions.end(b.ID, unknown) }()
 	err = s.onLeader(ctx, func() {
 		if known = s.batches.Get(b.ID) != nil; !known {
 			s.batches.ReuseResults(b)
 		}
 	})
 	if err == nil && !known {
+		term, _, _ := s.replica.Node().HoldsLease()
+		if r := s.driver.admit(b, len(q.Batch), term, time.Now()); r != nil {
+			return nil, r.toTwirpError()
+		}
+		s.driver.submissions.propose(b.ID, len(q.Batch))
 		b.Submitted = time.Now().UnixMilli()
 		err = s.proposeWithin(ctx, &batch.Command{Accept: b})
+		unknown = mayBeProposed(err)
 	}
 	entry := s.log.WithFields(logrus.Fields{"batch": b.ID, "items": len(b.Items), "step": b.Step, "route": b.Route,
 		"min_version": b.MinVersion, "known": known, "carried": len(b.Results)})
@@ -53,6 +61,13 @@
 	return &fleet.Nothing{}, nil
 }
 
+// mayBeProposed reports whether a command whose proposal has failed may be committed yet.
+func mayBeProposed(err error) bool {
+	var notLeader *NotLeaderError
+	var invalid *batch.EncodeError
+	return err != nil && !errors.As(err, &notLeader) && !errors.As(err, &invalid)
+}
+
 func (s *Server) proposeWithin(ctx context.Context, c *batch.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -54,6 +54,11 @@
 	term uint64
 	// service is the service whose engines run the item.
 	service string
+	// route is the route of the item in the configuration routedBy.
+	route    *routing.Route
+	routedBy *routing.Table
+	// carried is true if an earlier batch had the item and ended without its result.
+	carried bool
 	// progress is owned by the run while running is true, otherwise by the driver.
 	progress itemrun.Progress
 	running  bool
@@ -75,6 +80,8 @@
 	// blockedAt is since when the item has found no free engine of the software version that
 	// began it; zero if it has not looked for one.
 	blockedAt time.Time
+	// blockedBy is what the item required when the latest dispatch skipped it since no engine had a free slot.
+	blockedBy requirementKey
 	cancel    context.CancelCauseFunc
 	// slot is the slot of the current run; pulse is written by the run. next is the slot of the run
 	// that continues it, nil if none was taken.
@@ -119,6 +126,11 @@
 	state      *feed.State
 	// work is the expected work of the models' steps.
 	work workEstimates
+	// sharing divides capacity among trainers; submissions are those that are being stored.
+	sharing     *sharing
+	submissions *submissions
+	// engines is what is known of the kinds of engines.
+	engines engineKinds
 	// tokenTime is the average run time per token of the callers' length estimates.
 	tokenTime time.Duration
 	// upgradedAt is when upgradeRuns last looked at the running items.
@@ -133,13 +145,15 @@
 	// open lists the items to run; ended those that are not run any more.
 	open  []batch.Item
 	ended []itemqueue.Key
+	// served is the sum of the length estimates of the items that had a result when a new leader read the batch.
+	served int
 	// groups holds the groups of the items in ended, by index.
 	groups []string
 }
 
 func newDriver(s *Server) *driver {
 	d := &driver{s: s, table: placement.NewTable(),
-		wake: make(chan struct{}, 1), state: &feed.State{}, tokenTime: initialTokenTime}
+		wake: make(chan struct{}, 1), state: &feed.State{}, tokenTime: initialTokenTime, submissions: newSubmissions()}
 	d.runner = &itemrun.Runner{Client: s.cfg.Engines, Headers: s.cfg.Headers, Limits: s.limitReader(d.table),
 		Departures: s.departureReader(d.table)}
 	d.table.Connected = s.cfg.Engines.Idle
@@ -165,6 +179,8 @@
 func (d *driver) clear() {
 	d.queue, d.pending, d.preferred, d.partials, d.term = itemqueue.New(), map[itemqueue.Key]*pendingItem{}, map[string]string{}, newPartials(), 0
 	d.endingRuns, d.scores, d.work = map[partialKey]int{}, scorequeue.New(), workEstimates{}
+	d.sharing = newSharing()
+	d.submissions.clear()
 }
 
 func (d *driver) wakeUp() {
@@ -180,6 +196,7 @@
 	d.table.Limits.SetTurn(0, st.EntryHosts+1)
 	d.updateScoreTable(st)
 	d.mu.Lock()
+	d.engines.update(st.Instances, time.Now())
 	d.state = st
 	d.mu.Unlock()
 	d.wakeUp()
@@ -230,7 +247,7 @@
 	var open []batchChange
 	err := d.s.onLeader(ctx, func() {
 		for _, b := range d.s.batches.All() {
-			open = append(open, batchChange{batch: b, open: b.OpenItems()})
+			open = append(open, batchChange{batch: b, open: b.OpenItems(), served: servedTokens(b)})
 		}
 	})
 	if err != nil {
@@ -299,19 +316,22 @@
 	if len(e.open) > 0 {
 		d.work.add(e.batch)
 	}
+	d.shareBatch(e, time.Now())
 	for i, item := range e.open {
 		k := itemqueue.Key{Batch: e.batch.ID, Item: item.ID}
 		if d.pending[k] != nil {
 			continue
 		}
 		d.pending[k] = d.newPendingItem(e.batch, item)
+		d.pending[k].carried = d.sharing.carries(e.batch, item)
 		d.queue.Add(itemqueue.Item{Key: k, Group: item.Group, Due: e.batch.DueTime(), Index: i,
-			Estimate: d.expectedTime(item)})
+			Estimate: d.expectedTime(item), Ref: d.pending[k]})
 	}
 	open, running := 0, 0
 	for i, k := range e.ended {
 		if w := d.pending[k]; w != nil {
 			open++
+			d.sharing.leave(w, time.Now())
 			if w.running {
 				running++
 			}
@@ -336,17 +356,18 @@
 	}
 	now := time.Now()
 	d.upgradeRuns(now)
+	d.planSteps(now)
 	full := map[requirementKey]bool{}
+	var latest requirementKey // the latest one that was found full
 	for _, x := range d.queue.Runnable(now) {
-		w := d.pending[x.Key]
-		if w == nil {
-			d.queue.Done(x.Key)
-			continue
-		}
-		if d.expireItem(ctx, x.Key, w, now) {
+		w := x.Ref.(*pendingItem)
+		if d.expireItem(ctx, x.Key, w, now) || d.isBlocked(w, latest) {
 			continue
 		}
 		d.startRun(ctx, x.Key, w, full, now)
+		if w.blockedBy != (requirementKey{}) {
+			latest = w.blockedBy
+		}
 	}
 }
 
@@ -394,6 +415,14 @@
 	if d.state.Table == nil {
 		return nil
 	}
+	if w.routedBy == d.state.Table {
+		return w.route
+	}
+	w.routedBy, w.route = d.state.Table, d.findRoute(w)
+	return w.route
+}
+
+func (d *driver) findRoute(w *pendingItem) *routing.Route {
 	if r := d.state.Table.RouteByName(w.batch.Route); r != nil && (r.Host == w.batch.Host || w.batch.Host == "") {
 		return r
 	}
@@ -402,6 +431,7 @@
 
 // startRun runs an item if an engine has a free slot for it. The caller holds d.mu.
 func (d *driver) startRun(ctx context.Context, k itemqueue.Key, w *pendingItem, full map[requirementKey]bool, now time.Time) {
+	w.blockedBy = requirementKey{}
 	route := d.routeOf(w)
 	if route == nil || d.awaitsProgress(w) {
 		return
@@ -421,6 +451,7 @@
 	software := d.softwareOf(k, w, now)
 	key := requirementKey{w.service, w.batch.Model, w.batch.MinVersion, softwareKey(software)}
 	if full[key] && w.next == nil {
+		w.blockedBy = key
 		return
 	}
 	group := w.batch.ID + " " + w.item.Group
@@ -438,6 +469,7 @@
 	}
 	d.preferred[group] = slot.ID
 	w.runs++
+	d.charge(w, now)
 	d.queue.Start(k)
 	runCtx, cancel := context.WithCancelCause(ctx)
 	w.cancel, w.running, w.slot = cancel, true, slot
--- a/internal/process/store/upgrade.go
+++ b/internal/process/store/upgrade.go
@@ -28,12 +28,16 @@
 // eventsLeft returns the number of events that a running item is expected to produce yet. The caller
 // holds d.mu.
 func (d *driver) eventsLeft(w *pendingItem) float64 {
-	stride := float64(defaultStride)
-	if s := d.state.Table.Service(w.service); s != nil && s.EventTokens > 0 {
-		stride = float64(s.EventTokens)
-	}
 	produced := float64(w.pulse.events.Load())
-	return max(float64(w.item.LengthHint)/stride-produced, overrun*produced)
+	return max(float64(w.item.LengthHint)/d.stride(w.service)-produced, overrun*produced)
+}
+
+// stride returns the number of tokens of an event of a service's engines. The caller holds d.mu.
+func (d *driver) stride(service string) float64 {
+	if s := d.state.Table.Service(service); s != nil && s.EventTokens > 0 {
+		return float64(s.EventTokens)
+	}
+	return defaultStride
 }
 
 // upgradeRuns ends runs at slow engines for which a faster engine has a free slot: they continue there
--- a/internal/request/itemqueue/plan.go
+++ b/internal/request/itemqueue/plan.go
@@ -53,9 +53,10 @@
 type Forecast struct {
 	Plan  forecast.Plan
 	Input forecast.Input
-	// Flows are the flows by their positions in the input.
-	Flows  []fairshare.Flow
-	groups []*group
+	// Flows and Batches are the flows and the batches of the queue by their positions in the input.
+	Flows   []fairshare.Flow
+	Batches []string
+	groups  []*group
 }
 
 // Forecast returns the plan for the groups of the queue and those of another batch, which stand last in the
@@ -83,6 +84,7 @@
 		if i == 0 || f.groups[i-1].batch != g.batch {
 			step = o.Step(g.batch)
 			in.Spare = append(in.Spare, step.Spare)
+			f.Batches = append(f.Batches, g.batch)
 		}
 		x := forecast.Group{Flow: flow(step.Flow), Batch: len(in.Spare) - 1, Priority: step.Priority,
 			Due: step.Due.Sub(now), Late: step.Late.Sub(now), Index: g.first}
--- a/internal/request/itemqueue/queue.go
+++ b/internal/request/itemqueue/queue.go
@@ -23,6 +23,8 @@
 	NotBefore time.Time
 	// HasProgress is true if an earlier run of the item has produced events.
 	HasProgress bool
+	// Ref is the caller's own data of the item.
+	Ref any
 
 	// own is the group of the item.
 	own *group
--- a/pkg/process/settings/site.go
+++ b/pkg/process/settings/site.go
@@ -68,6 +68,20 @@
 	// Speeds places items by the time that engines take for an event, and moves running items to
 	// faster engines.
 	Speeds bool `json:"speeds,omitempty"`
+	// Fair divides capacity among trainers and runs groups that cannot be complete last, while not all can.
+	Fair bool `json:"fair,omitempty"`
+	// Refuse refuses submissions that cannot be served.
+	Refuse bool `json:"refuse,omitempty"`
+	// OpenMB bounds the data of the open batches in MB; zero means a third of the memory.
+	OpenMB int `json:"open,omitempty"`
+}
+
+// OpenBytes returns the bound of the data of the open batches.
+func (c *Site) OpenBytes() int {
+	if c.Scheduling.OpenMB > 0 {
+		return c.Scheduling.OpenMB << 20
+	}
+	return c.MemoryMB << 20 / 3
 }
 
 // Bounds are the limits that the platform requires the system to meet.
@@ -117,6 +131,8 @@
 		c.checkRole(),
 		c.Bounds.check(),
 		checkOptionalAddress("platform.addr", c.Platform.Addr),
+		strictjson.Require("scheduling.open", c.Scheduling.OpenMB >= 0 && c.Scheduling.OpenMB <= c.MemoryMB,
+			"must be 0 (a third of memory) or a number of MB up to memory"),
 		c.Logs.check(),
 	)
 }
