--- a/internal/process/store/admission.go
+++ b/internal/process/store/admission.go
@@ -61,8 +61,9 @@
 // submissionState is the state of the calls of one submission.
 type submissionState struct {
 	calls int
-	// proposed is true if a call has proposed the batch; the outcome may be unknown.
+	// proposed is true if a call has proposed the batch, in a term; unknown is true if it may still be stored.
 	proposed, unknown bool
+	term              uint64
 	// bytes is the size of the batch while a call proposes it.
 	bytes int
 }
@@ -80,11 +81,11 @@
 }
 
 // propose notes that a call proposes the batch.
-func (x *submissions) propose(id string, bytes int) {
+func (x *submissions) propose(id string, bytes int, term uint64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if s := x.all[id]; s != nil {
-		s.proposed, s.bytes = true, bytes
+		s.proposed, s.bytes, s.term = true, bytes, term
 	}
 }
 
@@ -134,12 +135,12 @@
 	return sum
 }
 
-// clear forgets the calls that have ended. A later term has all batches that earlier ones may have stored before it
-// has the lease.
-func (x *submissions) clear() {
+// clear forgets the calls of earlier terms that have ended. A leader has applied all that they may have stored before
+// it has the lease.
+func (x *submissions) clear(term uint64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	maps.DeleteFunc(x.all, func(_ string, s *submissionState) bool { return s.calls <= 0 })
+	maps.DeleteFunc(x.all, func(_ string, s *submissionState) bool { return s.calls <= 0 && s.term < term })
 }
 
 // admit returns why a new submission is refused in a term, nil if it is accepted. size is the size of the batch.
@@ -228,7 +229,7 @@
 // checkTime refuses a batch of which no group could be complete before its items expire, beside what was accepted
 // before. The caller holds d.mu.
 func (d *driver) checkTime(b *batch.Batch, now time.Time) *refusal {
-	if b.Expiry <= 0 {
+	if b.Expiry <= 0 || !d.s.cfg.Site.Scheduling.Fair {
 		return nil
 	}
 	c := *b
--- a/internal/process/store/batches.go
+++ b/internal/process/store/batches.go
@@ -45,7 +45,7 @@
 		if r := s.driver.admit(b, len(q.Batch), term, time.Now()); r != nil {
 			return nil, r.toTwirpError()
 		}
-		s.driver.submissions.propose(b.ID, len(q.Batch))
+		s.driver.submissions.propose(b.ID, len(q.Batch), term)
 		b.Submitted = time.Now().UnixMilli()
 		err = s.proposeWithin(ctx, &batch.Command{Accept: b})
 		unknown = mayBeProposed(err)
--- a/internal/process/store/driver.go
+++ b/internal/process/store/driver.go
@@ -180,7 +180,6 @@
 	d.queue, d.pending, d.preferred, d.partials, d.term = itemqueue.New(), map[itemqueue.Key]*pendingItem{}, map[string]string{}, newPartials(), 0
 	d.endingRuns, d.scores, d.work = map[partialKey]int{}, scorequeue.New(), workEstimates{}
 	d.sharing = newSharing()
-	d.submissions.clear()
 }
 
 func (d *driver) wakeUp() {
@@ -254,6 +253,7 @@
 		return // leadership was lost meanwhile
 	}
 	d.term = term
+	d.submissions.clear(term)
 	for _, e := range open {
 		d.applyChange(e)
 	}
@@ -331,7 +331,7 @@
 	for i, k := range e.ended {
 		if w := d.pending[k]; w != nil {
 			open++
-			d.sharing.leave(w, time.Now())
+			d.leaveItem(w, time.Now())
 			if w.running {
 				running++
 			}
--- a/internal/process/store/sharing.go
+++ b/internal/process/store/sharing.go
@@ -70,9 +70,11 @@
 	return left || item.Partial != nil
 }
 
-// leave notes an item that its batch leaves undone.
-func (x *sharing) leave(w *pendingItem, now time.Time) {
-	x.left[carriedItem{w.batch.Workspace, w.batch.Model, w.item.ID}] = now
+// leaveItem notes an item that its batch leaves undone. The caller holds d.mu.
+func (d *driver) leaveItem(w *pendingItem, now time.Time) {
+	if d.s.cfg.Site.Scheduling.Fair {
+		d.sharing.left[carriedItem{w.batch.Workspace, w.batch.Model, w.item.ID}] = now
+	}
 }
 
 // servedTokens returns the sum of the length estimates of the items with a result, zero once the batch has ended.
@@ -90,14 +92,12 @@
 func (d *driver) shareBatch(e batchChange, now time.Time) {
 	x := d.sharing
 	x.next = time.Time{}
-	if len(e.ended) > 0 {
-		delete(x.spare, e.batch.ID)
-		return
+	if len(e.ended) == 0 {
+		d.submissions.stored(e.batch.ID)
 	}
-	if len(e.open) == 0 {
+	if !d.s.cfg.Site.Scheduling.Fair || len(e.open) == 0 {
 		return
 	}
-	d.submissions.stored(e.batch.ID)
 	x.spare[e.batch.ID] = spareGroups(e.batch)
 	if e.served > 0 { // by an earlier leader
 		w := &pendingItem{batch: e.batch, item: e.open[0]}
@@ -318,6 +318,7 @@
 	f := d.queue.Plan(now, d.outlook(newLanes(), now))
 	x.ledger.Forget(now)
 	maps.DeleteFunc(x.left, func(_ carriedItem, at time.Time) bool { return now.Sub(at) > carryTime })
+	maps.DeleteFunc(x.spare, func(id string, _ int) bool { return !slices.Contains(f.Batches, id) })
 	took := time.Since(start)
 	x.next = now.Add(max(planInterval, time.Duration(float64(took)/maxPlanLoad)))
 	d.s.cfg.Scope.Timer("plan_build").Record(took)
--- a/internal/process/store/sharing_test.go
+++ b/internal/process/store/sharing_test.go
@@ -131,7 +131,7 @@
 				t.Errorf("Retry-After %v", r.retryAfter)
 			}
 			d.submissions.begin("b")
-			d.submissions.propose("b", 0)
+			d.submissions.propose("b", 0, 1)
 			if check() != nil {
 				t.Error("refused although another call may have stored it")
 			}
--- /dev/null
+++ b/pkg/process/settings/site_test.go
@@ -0,0 +1,37 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestOpenBytes guards against a bound of the open batches above the memory of the process, which bounds nothing.
+func TestOpenBytes(t *testing.T) {
+	for _, c := range []struct {
+		open, bytes int
+		valid       bool
+	}{
+		{0, 154 << 20 / 3, true},
+		{154, 154 << 20, true},
+		{1, 1 << 20, true},
+		{155, 0, false},
+		{-1, 0, false},
+	} {
+		file := filepath.Join(t.TempDir(), "site.json")
+		text := fmt.Sprintf(`{"role":"store","host":"h","zone":"z","ip":"127.0.0.1","ports":[9000,9010],"seeds":["127.0.0.1:8000"],"bootstrap":false,
+			"data":"d","memory":154,"tolerate":1,"bounds":{"lease":300,"fenced":true,"grace":8000,"window":1000,"keep":60000},
+			"platform":{},"scheduling":{"fair":true,"refuse":true,"open":%d},"logs":{"level":"info"}}`, c.open)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		site, err := ReadSite(file, RoleStore)
+		if (err == nil) != c.valid || err != nil && !strings.Contains(err.Error(), "scheduling.open") {
+			t.Errorf("open %d: %v", c.open, err)
+		} else if err == nil && site.OpenBytes() != c.bytes {
+			t.Errorf("open %d: %d bytes, want %d", c.open, site.OpenBytes(), c.bytes)
+		}
+	}
+}
