--- a/internal/process/store/sharing_test.go
+++ b/internal/process/store/sharing_test.go
@@ -190,7 +190,9 @@
 			d, now := sharingDriver(45), time.Now()
 			d.s.cfg.Site.Scheduling.Fair = fair
 			for i := range 4 {
-				d.accept(stepBatch(fmt.Sprint(i), fmt.Sprint("w", i), 32, now))
+				x := stepBatch(fmt.Sprint(i), fmt.Sprint("w", i), 32, now)
+				x.Expiry = 0 // expired items would be committed
+				d.accept(x)
 			}
 			for {
 				if _, ok := d.table.Take(placement.Requirement{Service: "s", Strict: true}, now); !ok {
