Bound the cost of plans when many small batches arrive

What callers saw: nothing; found in the review.

Cause: each batch that was accepted or ended asked for a plan at once, and each submission for a forecast, so a hundred small batches a second would have taken a tenth of a core and more.

Change: a plan waits until plans take 3% of the time at most, and submissions are compared with the forecast only while the latest plan says that not all groups can be complete. Classes and counters have plainer names.

Why it works: while all accepted groups can be complete, a new one is accepted in any case.

--- a/internal/process/store/admission.go
+++ b/internal/process/store/admission.go
@@ -229,7 +229,7 @@
 // checkTime refuses a batch of which no group could be complete before its items expire, beside what was accepted
 // before. The caller holds d.mu.
 func (d *driver) checkTime(b *batch.Batch, now time.Time) *refusal {
-	if b.Expiry <= 0 || !d.s.cfg.Site.Scheduling.Fair {
+	if b.Expiry <= 0 || !d.s.cfg.Site.Scheduling.Fair || !d.queue.Overloaded() {
 		return nil
 	}
 	c := *b
@@ -260,11 +260,11 @@
 		extra.Groups[g].Parts = itemqueue.AddWork(extra.Groups[g].Parts, x.number(d.laneOf(w)), work)
 	}
 	f := d.queue.Forecast(now, d.outlook(x, now), extra)
-	if !f.Plan.Pressed || len(extra.Groups) == 0 {
+	if !f.Plan.Overloaded || len(extra.Groups) == 0 {
 		return nil
 	}
 	for _, class := range f.Plan.Classes[len(f.Plan.Classes)-len(extra.Groups):] {
-		if class != forecast.Hopeless {
+		if class != forecast.TooLate {
 			return nil
 		}
 	}
--- a/internal/process/store/sharing.go
+++ b/internal/process/store/sharing.go
@@ -37,8 +37,8 @@
 	loadTime      = 1500 * time.Millisecond
 	// carryTime is how long an item that its batch left undone is known.
 	carryTime = 30 * time.Second
-	// pressedLogInterval is the least time between two log lines about plans that change the order.
-	pressedLogInterval = 5 * time.Second
+	// overloadLogInterval is the least time between two log lines about plans that change the order.
+	overloadLogInterval = 5 * time.Second
 	// maxLoggedBatches bounds the batches named in such a line.
 	maxLoggedBatches = 8
 )
@@ -46,8 +46,8 @@
 // sharing is the state of a leader by which it divides capacity among trainers.
 type sharing struct {
 	ledger *fairshare.Ledger
-	// next is the earliest time of the next plan.
-	next time.Time
+	// next is the time of the next plan, earliest the earliest one even if a batch is accepted or ended.
+	next, earliest time.Time
 	// spare is the number of groups that may be left undone, by batch.
 	spare map[string]int
 	// left holds the items that ended batches have left undone, and when.
@@ -91,7 +91,7 @@
 // shareBatch prepares the sharing for a batch that was accepted or ended. The caller holds d.mu.
 func (d *driver) shareBatch(e batchChange, now time.Time) {
 	x := d.sharing
-	x.next = time.Time{}
+	x.next = x.earliest
 	if len(e.ended) == 0 {
 		d.submissions.stored(e.batch.ID)
 	}
@@ -320,7 +320,8 @@
 	maps.DeleteFunc(x.left, func(_ carriedItem, at time.Time) bool { return now.Sub(at) > carryTime })
 	maps.DeleteFunc(x.spare, func(id string, _ int) bool { return !slices.Contains(f.Batches, id) })
 	took := time.Since(start)
-	x.next = now.Add(max(planInterval, time.Duration(float64(took)/maxPlanLoad)))
+	x.earliest = now.Add(time.Duration(float64(took) / maxPlanLoad))
+	x.next = now.Add(max(planInterval, x.earliest.Sub(now)))
 	d.s.cfg.Scope.Timer("plan_build").Record(took)
 	d.reportPlan(f, now)
 }
@@ -330,29 +331,29 @@
 // reportPlan counts and logs the plans that change the order. The caller holds d.mu.
 func (d *driver) reportPlan(f itemqueue.Forecast, now time.Time) {
 	x := d.sharing
-	if !f.Plan.Pressed {
+	if !f.Plan.Overloaded {
 		if x.announced {
 			x.announced = false
 			d.s.log.Info("all groups can be complete in time again")
 		}
 		return
 	}
-	d.s.cfg.Scope.Counter("plans_pressed").Inc(1)
+	d.s.cfg.Scope.Counter("plans_overloaded").Inc(1)
 	d.s.cfg.Scope.Counter("groups_put_last").Inc(int64(f.PutLast))
-	if now.Sub(x.logged) < pressedLogInterval {
+	if now.Sub(x.logged) < overloadLogInterval {
 		return
 	}
 	x.logged, x.announced = now, true
 	counts, last := map[forecast.Class]int{}, map[string]int{}
 	for i, c := range f.Plan.Classes {
 		counts[c]++
-		if c == forecast.Late || c == forecast.Hopeless {
+		if c == forecast.Late || c == forecast.TooLate {
 			last[f.Batches[f.Input.Groups[i].Batch]]++
 		}
 	}
 	named := slices.Sorted(maps.Keys(last))
 	d.s.log.WithFields(logrus.Fields{"groups": len(f.Plan.Classes), "in_time": counts[forecast.InTime], "optional": counts[forecast.Optional],
-		"late": counts[forecast.Late], "hopeless": counts[forecast.Hopeless], "batches": named[:min(len(named), maxLoggedBatches)],
+		"late": counts[forecast.Late], "too_late": counts[forecast.TooLate], "batches": named[:min(len(named), maxLoggedBatches)],
 		"flows": len(f.Flows)}).Info("not all groups can be complete in time")
 }
 
--- a/internal/process/store/sharing_test.go
+++ b/internal/process/store/sharing_test.go
@@ -79,7 +79,7 @@
 	if w := d.pending[keysOf(again)[3]]; !w.carried {
 		t.Error("an item that the batch before left undone is not known")
 	}
-	d.planSteps(now)
+	d.planSteps(now.Add(time.Second))
 	if d.sharing.announced {
 		t.Error("the order stays changed after the load has ended")
 	}
@@ -115,6 +115,7 @@
 			for _, b := range c.open {
 				d.accept(b)
 			}
+			d.planSteps(now)
 			check := func() *refusal {
 				d.submissions.begin("b")
 				defer d.submissions.end("b", false)
--- a/internal/request/forecast/capacity.go
+++ b/internal/request/forecast/capacity.go
@@ -16,9 +16,9 @@
 	// utilization is the part of the slots' time that items use if there are always waiting ones: a slot is
 	// idle between two items, and at the end of a step the last items run alone.
 	utilization = 0.9
-	// pressedUtilization is the same while not all groups can be complete. The difference keeps the order from
+	// overloadedUtilization is the same while not all groups can be complete. The difference keeps the order from
 	// changing with each plan.
-	pressedUtilization = 0.85
+	overloadedUtilization = 0.85
 	// acceptUtilization is the part of the slots' time that is given to accepted groups. The rest covers lengths
 	// that are not known exactly and long items, which cannot be divided; late groups use what is left of it. In replays
 	// with 0.95, a fifth of the accepted groups was late by some 0.2 s.
--- a/internal/request/forecast/forecast.go
+++ b/internal/request/forecast/forecast.go
@@ -58,8 +58,8 @@
 	Leads []time.Duration
 	// Spare is the number of groups that may be left undone, by batch.
 	Spare []int
-	// Pressed is the result of the plan before.
-	Pressed bool
+	// Overloaded is the result of the plan before.
+	Overloaded bool
 }
 
 // Class is what the forecast says about a group.
@@ -73,16 +73,16 @@
 	Optional
 	// Late groups can be complete while they have a smaller value.
 	Late
-	// Hopeless groups cannot be complete before they have lost all value.
-	Hopeless
+	// TooLate groups cannot be complete before they have lost all value.
+	TooLate
 )
 
 // Plan is the result of a forecast.
 type Plan struct {
-	// Pressed is true if not all groups can be complete in time. Otherwise Classes and Ranks are nil, and
+	// Overloaded is true if not all groups can be complete in time. Otherwise Classes and Ranks are nil, and
 	// the order of the queue stays.
-	Pressed bool
-	Classes []Class
+	Overloaded bool
+	Classes    []Class
 	// Ranks has the rank of each group: lower ones run first.
 	Ranks []int32
 	left  *capacity
@@ -90,7 +90,7 @@
 
 // Make forecasts which groups can be complete, and ranks them if not all can.
 func Make(in Input) Plan {
-	if !pressed(in) {
+	if !overloaded(in) {
 		return Plan{}
 	}
 	return rank(in)
@@ -104,12 +104,12 @@
 	return end
 }
 
-// pressed reports whether a group that could be complete in time with all slots to itself is not if the groups run
+// overloaded reports whether a group that could be complete in time with all slots to itself is not if the groups run
 // by their due times.
-func pressed(in Input) bool {
+func overloaded(in Input) bool {
 	used := utilization
-	if in.Pressed {
-		used = pressedUtilization
+	if in.Overloaded {
+		used = overloadedUtilization
 	}
 	left := newCapacity(in.Pools, horizon(in), used)
 	order := make([]int, len(in.Groups))
@@ -156,12 +156,12 @@
 // that still have a smaller value.
 func rank(in Input) Plan {
 	n := len(in.Groups)
-	p := Plan{Pressed: true, Classes: make([]Class, n), Ranks: make([]int32, n), left: newCapacity(in.Pools, horizon(in), acceptUtilization)}
+	p := Plan{Overloaded: true, Classes: make([]Class, n), Ranks: make([]int32, n), left: newCapacity(in.Pools, horizon(in), acceptUtilization)}
 	work := make([]time.Duration, n)
 	order := make([]int, n)
 	for i := range order {
 		order[i], work[i] = i, in.Groups[i].work()
-		p.Classes[i] = Hopeless
+		p.Classes[i] = TooLate
 	}
 	slices.SortFunc(order, func(a, b int) int {
 		x, y := &in.Groups[a], &in.Groups[b]
@@ -183,11 +183,11 @@
 			p.accept(in, round, byFlow, work, class, func(i int) bool { return (class == Optional) == optional[i] || class == Late })
 		}
 		for _, i := range order[:end] {
-			p.Ranks[i] = tier*int32(Hopeless) + int32(p.Classes[i])
+			p.Ranks[i] = tier*int32(TooLate) + int32(p.Classes[i])
 		}
 		order = order[end:]
 	}
-	p.rankHopeless(in, work)
+	p.rankTooLate(in, work)
 	return p
 }
 
@@ -220,7 +220,7 @@
 		i := byFlow[f][next[f]]
 		next[f]++
 		g := &in.Groups[i]
-		if p.Classes[i] != Hopeless || !eligible(i) {
+		if p.Classes[i] != TooLate || !eligible(i) {
 			continue
 		}
 		deadline := g.Due
@@ -234,11 +234,11 @@
 	}
 }
 
-// rankHopeless ranks the groups that cannot be complete after all others, the least likely last.
-func (p *Plan) rankHopeless(in Input, work []time.Duration) {
+// rankTooLate ranks the groups that cannot be complete after all others, the least likely last.
+func (p *Plan) rankTooLate(in Input, work []time.Duration) {
 	var order []int
 	for i, c := range p.Classes {
-		if c == Hopeless {
+		if c == TooLate {
 			order = append(order, i)
 		}
 	}
--- a/internal/request/forecast/forecast_test.go
+++ b/internal/request/forecast/forecast_test.go
@@ -16,16 +16,16 @@
 	return Input{Groups: groups, Pools: []Pool{{Lanes: 1, Slots: []Slots{{slots, 0}}}}, Leads: make([]time.Duration, 3), Spare: make([]int, 3)}
 }
 
-// TestPressed guards against a changed order while all groups can be complete, and against an unchanged one while
+// TestOverloaded guards against a changed order while all groups can be complete, and against an unchanged one while
 // engines are away.
-func TestPressed(t *testing.T) {
+func TestOverloaded(t *testing.T) {
 	fits := []Group{group(0, 0, 0, 28*second, 8*second), group(1, 1, 0, 28*second, 8*second)}
 	long := group(1, 1, 1, second, 8*second)
 	long.Longest = 20 * second
 	for _, c := range []struct {
-		name    string
-		in      Input
-		pressed bool
+		name       string
+		in         Input
+		overloaded bool
 	}{
 		{"no groups", input(0), false},
 		{"all fit", input(8, fits...), false},
@@ -38,8 +38,8 @@
 		{"two pools that both serve it", Input{Groups: fits, Pools: []Pool{{1, []Slots{{4, 0}}, nil}, {3, []Slots{{5, 0}}, nil}}, Leads: make([]time.Duration, 2),
 			Spare: make([]int, 2)}, false},
 	} {
-		if p := Make(c.in); p.Pressed != c.pressed {
-			t.Errorf("%s: pressed %v", c.name, p.Pressed)
+		if p := Make(c.in); p.Overloaded != c.overloaded {
+			t.Errorf("%s: overloaded %v", c.name, p.Overloaded)
 		}
 	}
 }
@@ -63,7 +63,7 @@
 	p := Make(in)
 	// Seven slots take four groups of 10 s until 8 s: two of each flow, the carried one first. By 12 s there is room for
 	// two more.
-	want := []Class{InTime, Late, Late, Hopeless, InTime, Hopeless, InTime, InTime, Late, Hopeless}
+	want := []Class{InTime, Late, Late, TooLate, InTime, TooLate, InTime, InTime, Late, TooLate}
 	for i, c := range p.Classes {
 		if c != want[i] {
 			t.Errorf("group %d of batch %d is of class %d, want %d", in.Groups[i].Index, in.Groups[i].Batch, c, want[i])
--- a/internal/request/itemqueue/order_test.go
+++ b/internal/request/itemqueue/order_test.go
@@ -86,7 +86,7 @@
 	}
 	o := r.outlook(start)
 	for b.Loop() {
-		if !r.q.Plan(start, o).Plan.Pressed {
+		if !r.q.Plan(start, o).Plan.Overloaded {
 			b.Fatal("all groups fit")
 		}
 	}
--- a/internal/request/itemqueue/plan.go
+++ b/internal/request/itemqueue/plan.go
@@ -35,10 +35,10 @@
 // items, otherwise the order is the one without a plan.
 func (q *Queue) Plan(now time.Time, o Outlook) Forecast {
 	f := q.Forecast(now, o, nil)
-	q.pressed = f.Plan.Pressed
+	q.overloaded = f.Plan.Overloaded
 	for i, g := range f.groups {
 		rank := int32(0)
-		if f.Plan.Pressed {
+		if f.Plan.Overloaded {
 			rank = f.Plan.Ranks[i]
 			if f.Plan.Classes[i] >= forecast.Late && !g.last {
 				g.last = true
@@ -53,6 +53,9 @@
 	return f
 }
 
+// Overloaded reports whether not all groups could be complete in time by the latest plan.
+func (q *Queue) Overloaded() bool { return q.overloaded }
+
 // Forecast is a plan and what it was made of.
 type Forecast struct {
 	Plan  forecast.Plan
@@ -83,7 +86,7 @@
 		return i
 	}
 	in := &f.Input
-	in.Pools, in.Pressed = o.Pools, q.pressed
+	in.Pools, in.Overloaded = o.Pools, q.overloaded
 	in.Groups = make([]forecast.Group, 0, len(f.groups))
 	var step Step
 	for i, g := range f.groups {
--- a/internal/request/itemqueue/queue.go
+++ b/internal/request/itemqueue/queue.go
@@ -61,8 +61,8 @@
 	groups  map[groupKey]*group
 	// sorted holds the waiting items in order, apart from those in changed; the others are buffers.
 	sorted, changed, moved, merged, runnable []*Item
-	// pressed is the result of the latest plan.
-	pressed bool
+	// overloaded is the result of the latest plan.
+	overloaded bool
 }
 
 // New returns an empty queue.
--- a/internal/request/itemqueue/replay_test.go
+++ b/internal/request/itemqueue/replay_test.go
@@ -40,8 +40,8 @@
 	// reclaimed is when the engines of one zone are taken away for 8 s, newLeader when a leader with an empty ledger
 	// and queue takes over; zero for never.
 	reclaimed, newLeader time.Duration
-	// pressed counts the plans that changed the order.
-	pressed int
+	// overloaded counts the plans that changed the order.
+	overloaded int
 
 	q      *Queue
 	ledger *fairshare.Ledger
@@ -93,8 +93,8 @@
 		r.endItems(now)
 		if r.plan && now.Sub(planned) >= 200*time.Millisecond {
 			planned = now
-			if r.q.Plan(now, r.outlook(now)).Plan.Pressed {
-				r.pressed++
+			if r.q.Plan(now, r.outlook(now)).Plan.Overloaded {
+				r.overloaded++
 			}
 		}
 		r.startItems(now)
@@ -278,8 +278,8 @@
 			if float64(sumAfter) < c.more*float64(sumBefore) {
 				t.Errorf("%d groups in time, %d without the forecast", sumAfter, sumBefore)
 			}
-			if c.more == 1 && after.pressed > 0 {
-				t.Errorf("%d plans changed the order although all groups are complete in time", after.pressed)
+			if c.more == 1 && after.overloaded > 0 {
+				t.Errorf("%d plans changed the order although all groups are complete in time", after.overloaded)
 			}
 		})
 	}
