Compute capacity at fixed points in time

What callers saw: nothing; found in the review.

Cause: the points in time were spread evenly until the last deadline, so beside a batch that is due in an hour all deadlines of seconds were rounded down to zero, and the groups looked late.

Change: points every 250 ms until 8 s, every 500 ms until 16 s, then each a third later than the one before, up to 20 minutes.

Why it works: near deadlines are as exact as before, whatever other batches there are.

--- a/internal/request/forecast/capacity.go
+++ b/internal/request/forecast/capacity.go
@@ -7,10 +7,8 @@
 )
 
 const (
-	// points is the number of points in time for which capacity is computed, minStep the least time
-	// between two of them. Deadlines are rounded down to one.
-	points  = 64
-	minStep = 250 * time.Millisecond
+	// points is the number of points in time for which capacity is computed. Deadlines are rounded down to one.
+	points = 64
 	// MaxLanes is the maximum number of lanes.
 	MaxLanes = 64
 	// utilization is the part of the slots' time that items use if there are always waiting ones: a slot is
@@ -25,6 +23,31 @@
 	acceptUtilization = 0.75
 )
 
+// times are the points in time: every 250 ms until 8 s, every 500 ms until 16 s, and then a third more each time, so that
+// batches that are due in an hour do not make those of seconds less exact.
+var times = func() (out [points]time.Duration) {
+	for i := 1; i < points; i++ {
+		switch {
+		case out[i-1] < 8*time.Second:
+			out[i] = out[i-1] + 250*time.Millisecond
+		case out[i-1] < 16*time.Second:
+			out[i] = out[i-1] + 500*time.Millisecond
+		default:
+			out[i] = out[i-1] * 4 / 3
+		}
+	}
+	return out
+}()
+
+// point returns the last point in time until d.
+func point(d time.Duration) int {
+	i, exact := slices.BinarySearch(times[:], d)
+	if exact {
+		return i
+	}
+	return max(0, i-1)
+}
+
 // Slots is a number of slots that are usable from a time on, as a duration from now.
 type Slots struct {
 	Count int
@@ -43,7 +66,6 @@
 
 // capacity holds the engine time that pools have left until each point in time.
 type capacity struct {
-	step  time.Duration
 	pools []poolCapacity
 	undo  []draw
 }
@@ -59,15 +81,14 @@
 	work        time.Duration
 }
 
-func newCapacity(pools []Pool, horizon time.Duration, used float64) *capacity {
-	c := &capacity{step: max(minStep, horizon/(points-2))}
+func newCapacity(pools []Pool, used float64) *capacity {
+	c := &capacity{}
 	for _, p := range pools {
 		x := poolCapacity{lanes: p.Lanes}
 		for _, s := range p.Slots {
 			x.slots += s.Count
 		}
-		for i := range points {
-			t := time.Duration(i) * c.step
+		for i, t := range times {
 			for _, s := range p.Slots {
 				x.left[i] += time.Duration(used * float64(s.Count) * float64(max(0, t-s.From)))
 			}
@@ -82,11 +103,6 @@
 	return c
 }
 
-// point returns the last point in time until d.
-func (c *capacity) point(d time.Duration) int {
-	return int(min(max(d, 0)/c.step, points-1))
-}
-
 // available returns the work that a pool can take until a point without delaying what it has taken.
 func (p *poolCapacity) available(point int) time.Duration {
 	return slices.Min(p.left[point:])
--- a/internal/request/forecast/forecast.go
+++ b/internal/request/forecast/forecast.go
@@ -96,14 +96,6 @@
 	return rank(in)
 }
 
-func horizon(in Input) time.Duration {
-	end := time.Duration(0)
-	for i := range in.Groups {
-		end = max(end, in.Groups[i].Due, in.Groups[i].Late)
-	}
-	return end
-}
-
 // overloaded reports whether a group that could be complete in time with all slots to itself is not if the groups run
 // by their due times.
 func overloaded(in Input) bool {
@@ -111,7 +103,7 @@
 	if in.Overloaded {
 		used = overloadedUtilization
 	}
-	left := newCapacity(in.Pools, horizon(in), used)
+	left := newCapacity(in.Pools, used)
 	order := make([]int, len(in.Groups))
 	for i := range order {
 		order[i] = i
@@ -119,7 +111,7 @@
 	slices.SortFunc(order, func(a, b int) int { return cmp.Or(cmp.Compare(in.Groups[a].Due, in.Groups[b].Due), cmp.Compare(a, b)) })
 	for _, i := range order {
 		g := &in.Groups[i]
-		deadline, at := g.Due, left.point(g.Due)
+		deadline, at := g.Due, point(g.Due)
 		if !g.possible(g.Due) { // it is late, and runs before all others in the order of the queue
 			deadline, at = g.Late, 0
 		}
@@ -128,7 +120,7 @@
 			continue
 		}
 		if at == 0 {
-			if !left.couldFit(g.Parts, left.point(deadline)) {
+			if !left.couldFit(g.Parts, point(deadline)) {
 				return true
 			}
 			left.force(g.Parts, 0)
@@ -156,7 +148,7 @@
 // that still have a smaller value.
 func rank(in Input) Plan {
 	n := len(in.Groups)
-	p := Plan{Overloaded: true, Classes: make([]Class, n), Ranks: make([]int32, n), left: newCapacity(in.Pools, horizon(in), acceptUtilization)}
+	p := Plan{Overloaded: true, Classes: make([]Class, n), Ranks: make([]int32, n), left: newCapacity(in.Pools, acceptUtilization)}
 	work := make([]time.Duration, n)
 	order := make([]int, n)
 	for i := range order {
@@ -227,7 +219,7 @@
 		if class == Late {
 			deadline = max(g.Due, g.Late)
 		}
-		if g.possible(deadline) && p.left.fits(g.Parts, p.left.point(deadline)) {
+		if g.possible(deadline) && p.left.fits(g.Parts, point(deadline)) {
 			p.Classes[i] = class
 			round.Grant(f, work[i])
 		}
@@ -259,7 +251,7 @@
 		if g.Batch != batch {
 			continue
 		}
-		if d, ok := p.left.wait(g.Parts, p.left.point(max(g.Due, g.Late))); ok && (!served || d < least) {
+		if d, ok := p.left.wait(g.Parts, point(max(g.Due, g.Late))); ok && (!served || d < least) {
 			least, served = d, true
 		}
 	}
--- a/internal/request/forecast/forecast_test.go
+++ b/internal/request/forecast/forecast_test.go
@@ -30,6 +30,7 @@
 		{"no groups", input(0), false},
 		{"all fit", input(8, fits...), false},
 		{"too few slots", input(6, fits...), true},
+		{"beside a batch that is due in an hour", input(9, fits[0], fits[1], group(2, 2, 0, 1000*second, 3600*second)), false},
 		{"an item that is late on an idle engine", input(8, fits[0], long), false},
 		{"the slots serve later", Input{Groups: fits, Pools: []Pool{{1, []Slots{{4, 0}, {4, 6 * second}}, nil}}, Leads: make([]time.Duration, 2), Spare: make([]int, 2)}, true},
 		{"the slots run other items", Input{Groups: fits, Pools: []Pool{{1, []Slots{{8, 0}}, []time.Duration{8 * second, 8 * second}}}, Leads: make([]time.Duration, 2),
