--- a/internal/process/store/prompts.go
+++ b/internal/process/store/prompts.go
@@ -137,15 +137,7 @@
 		return defaultEvents
 	}
 	produced := float64(w.progress.Events)
-	return max(float64(w.item.LengthHint)/float64(d.stride(w.service))-produced, overrun*produced)
-}
-
-// stride returns the number of tokens of an event. The caller holds d.mu.
-func (d *driver) stride(service string) int {
-	if s := d.state.Table.Service(service); s != nil && s.EventTokens > 0 {
-		return s.EventTokens
-	}
-	return defaultStride
+	return max(float64(w.item.LengthHint)/d.stride(w.service)-produced, overrun*produced)
 }
 
 // beginPrompt records that the engine of a run reads the prompt of its item. The caller holds d.mu.
@@ -159,7 +151,7 @@
 		return
 	}
 	known := d.prompts.cache.Known(slot.Model, w.prompt)
-	own := w.prompt[len(w.prompt)-1].Tokens + w.progress.Events*d.stride(w.service) + int(d.eventsExpected(w))*d.stride(w.service)
+	own := w.prompt[len(w.prompt)-1].Tokens + int((float64(w.progress.Events)+d.eventsExpected(w))*d.stride(w.service))
 	w.cached = d.prompts.cache.Begin(slot.Incarnation(), slot.Model, w.prompt, own)
 	saved, scope := w.cached.Saved(), d.s.cfg.Scope
 	switch {
--- a/pkg/process/settings/site.go
+++ b/pkg/process/settings/site.go
@@ -71,13 +71,31 @@
 	// Prompts is the least number of shared tokens of a prompt with which items go to engines that have
 	// it cached; 0 switches that off.
 	Prompts int `json:"prompts,omitempty"`
+	// Fair divides capacity among trainers and runs groups that cannot be complete last, while not all can.
+	Fair bool `json:"fair,omitempty"`
+	// Refuse refuses submissions that cannot be served.
+	Refuse bool `json:"refuse,omitempty"`
+	// OpenMB bounds the data of the open batches in MB; zero means a third of the memory.
+	OpenMB int `json:"open,omitempty"`
 }
 
 // maxSharedTokens bounds Scheduling.Prompts.
 const maxSharedTokens = 1_000_000
 
-func (s Scheduling) check() error {
-	return strictjson.Require("scheduling.prompts", s.Prompts >= 0 && s.Prompts <= maxSharedTokens, "must be 0 to 1,000,000 tokens")
+func (s Scheduling) check(memoryMB int) error {
+	return strictjson.First(
+		strictjson.Require("scheduling.prompts", s.Prompts >= 0 && s.Prompts <= maxSharedTokens, "must be 0 to 1,000,000 tokens"),
+		strictjson.Require("scheduling.open", s.OpenMB >= 0 && s.OpenMB <= memoryMB,
+			"must be 0 (a third of memory) or a number of MB up to memory"),
+	)
+}
+
+// OpenBytes returns the bound of the data of the open batches.
+func (c *Site) OpenBytes() int {
+	if c.Scheduling.OpenMB > 0 {
+		return c.Scheduling.OpenMB << 20
+	}
+	return c.MemoryMB << 20 / 3
 }
 
 // Bounds are the limits that the platform requires the system to meet.
@@ -127,7 +145,7 @@
 		c.checkRole(),
 		c.Bounds.check(),
 		checkOptionalAddress("platform.addr", c.Platform.Addr),
-		c.Scheduling.check(),
+		c.Scheduling.check(c.MemoryMB),
 		c.Logs.check(),
 	)
 }
