Refuse plain calls beyond their share, and use the speed of machines

Callers saw: while all servers of a plain service are full, each call asks up to five of them and waits between, is refused with a Retry-After of 250 ms whatever the load, and so returns into the same load.

Cause: a forwarder knows no demand but that of its own host; the fourth figure of the load header, how long work takes on the server's machine, is not read.

Change: Forwarder.Do asks admission.Host before anything else and answers 503 with its Retry-After; attempts are counted for the reports. While the service is under pressure a call stops after one server if all are known to be full. parseLoad reads slots and the fourth figure; the cost of a server is multiplied by it for 300 ms, and measured times are divided by it, so that it does not count twice. A malformed figure is read as a missing one. Streams and calls without Admission (the store's) are not affected.

Nothing has run when a call is refused.

--- a/internal/connection/admission/ledger.go
+++ b/internal/connection/admission/ledger.go
@@ -64,6 +64,8 @@
 	since     time.Time
 	capacity  float64
 	steppedAt time.Time
+	// reportedAt is the time of the last event.
+	reportedAt time.Time
 	// calmSince is since when no flow is limited, zero if one is.
 	calmSince time.Time
 	// keepUntil is until when hosts keep the shares that the leader before has named.
@@ -72,10 +74,23 @@
 	shares []Share
 }
 
-// Event is a change of a service, for the log.
+// EventKind is the kind of an event.
+type EventKind string
+
+// Kinds of events of a service under pressure.
+const (
+	Began   EventKind = "began"
+	Divided EventKind = "divided"
+	Ended   EventKind = "ended"
+)
+
+// dividedInterval is the minimum time between two events of the kind Divided.
+const dividedInterval = 10 * time.Second
+
+// Event is what happened to a service, for the log.
 type Event struct {
 	Service string
-	Began   bool
+	Kind    EventKind
 	// Capacity and Demand are in calls per second, Limited is the number of limited flows.
 	Capacity, Demand float64
 	Limited          int
@@ -223,13 +238,17 @@
 	}
 	s.step(t, slots, now)
 	s.divide(t)
+	if now.Sub(s.reportedAt) >= dividedInterval {
+		s.reportedAt = now
+		l.events = append(l.events, Event{Service: name, Kind: Divided, Capacity: s.capacity, Demand: t.begun, Limited: len(s.shares)})
+	}
 	switch {
 	case len(s.shares) > 0 || t.failedPart() > failedHigh:
 		s.calmSince = time.Time{}
 	case s.calmSince.IsZero():
 		s.calmSince = now
 	case now.Sub(s.calmSince) >= endAfter:
-		l.events = append(l.events, Event{Service: name, Capacity: s.capacity, Demand: t.begun, Lasted: now.Sub(s.since)})
+		l.events = append(l.events, Event{Service: name, Kind: Ended, Capacity: s.capacity, Demand: t.begun, Lasted: now.Sub(s.since)})
 		*s = state{reports: s.reports, evaluatedAt: now}
 	}
 }
@@ -251,9 +270,9 @@
 	default:
 		s.capacity = max(t.served, float64(slots)/t.mean.Seconds())
 	}
-	s.pressed, s.since, s.steppedAt = true, now, now
+	s.pressed, s.since, s.steppedAt, s.reportedAt = true, now, now, now
 	s.divide(t)
-	l.events = append(l.events, Event{Service: name, Began: true, Capacity: s.capacity, Demand: t.begun, Limited: len(s.shares), Adopted: adopted})
+	l.events = append(l.events, Event{Service: name, Kind: Began, Capacity: s.capacity, Demand: t.begun, Limited: len(s.shares), Adopted: adopted})
 }
 
 // failedPart returns the part of the admitted calls that no server took.
--- a/internal/connection/admission/ledger_test.go
+++ b/internal/connection/admission/ledger_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/plantainbank/plantainbank/service/fleet"
 )
 
@@ -18,6 +23,10 @@
 	}
 	l, now := NewLedger(start), start.Add(time.Hour)
 	loads := []*fleet.PlainLoad{load}
+	defer func() {
+		b.ReportMetric(float64(proto.Size(&fleet.Report{Plain: loads})), "B/report")
+		b.ReportMetric(float64(proto.Size(&fleet.News{Pressures: l.Pressures(func(string) int { return 18 }, now)})), "B/answer")
+	}()
 	for i := range b.N {
 		now = now.Add(800 * time.Millisecond / hosts)
 		l.Report(fmt.Sprint(i%hosts), loads, now)
@@ -26,3 +35,17 @@
 		}
 	}
 }
+
+// BenchmarkAdmit measures what a call costs an entry host while no service is under pressure.
+func BenchmarkAdmit(b *testing.B) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h, now := NewHost(HostConfig{Log: logrus.NewEntry(log), Scope: tally.NoopScope}), start
+	for i := range b.N {
+		now = now.Add(time.Millisecond)
+		h.Admit("plain", Flow{Workspace: names[i%len(names)]}, now)
+		h.RecordServed("plain", time.Millisecond, Load{1, 6}, now)
+	}
+}
+
+var names = []string{"a", "b", "c", "d", "e", "f", "g", "h"}
--- a/internal/connection/placement/table.go
+++ b/internal/connection/placement/table.go
@@ -102,6 +102,8 @@
 	// requests of other hosts.
 	reportedLoad int
 	reportedAt   time.Time
+	// reportedWork is the report's Load.Work.
+	reportedWork float64
 }
 
 // Table is the set of backend servers that requests are placed at. It is safe for
@@ -308,7 +310,7 @@
 	if now.Sub(s.reportedAt) < loadReportTTL {
 		running = max(running, s.reportedLoad)
 	}
-	cost := float64(running+1) * relative
+	cost := float64(running+1) * relative * s.workFactor(now)
 	if t.Zone != "" && s.Zone != t.Zone {
 		cost += crossZoneCost
 	}
@@ -347,11 +349,11 @@
 }
 
 // RecordLoad stores the load that a server has reported in a response.
-func (t *Table) RecordLoad(id string, busy int, now time.Time) {
+func (t *Table) RecordLoad(id string, x Load, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[id]; s != nil {
-		s.reportedLoad, s.reportedAt = busy, now
+		s.reportedLoad, s.reportedWork, s.reportedAt = x.Busy, x.Work, now
 	}
 }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -7,13 +7,13 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
+	"github.com/plantainbank/plantainbank/internal/connection/admission"
 	"github.com/plantainbank/plantainbank/internal/connection/departure"
 	"github.com/plantainbank/plantainbank/internal/connection/httpheader"
 	"github.com/plantainbank/plantainbank/internal/connection/links"
@@ -58,6 +58,8 @@
 	Scope   tally.Scope
 	// Guard refuses requests under which servers ended; nil admits all.
 	Guard *quarantine.Guard
+	// Admission refuses plain calls while their service is under pressure; nil admits all.
+	Admission *admission.Host
 	// Limits reads the rate limits in responses; nil ignores them.
 	Limits *ratelimit.Reader
 	// Departures reads from responses which servers leave; nil ignores it.
@@ -136,8 +138,10 @@
 	// sent counts the attempts that may have been executed, refused those that
 	// definitely were not.
 	sent, refused int
-	started       bool
-	avoid         map[string]bool
+	// full counts the attempts of a plain call that servers refused, other than as misdirected.
+	full    int
+	started bool
+	avoid   map[string]bool
 	// asked holds when control was asked for a permit, by server ID.
 	asked map[string]time.Time
 	// limit is how rate limits delayed the request when it last found no server.
@@ -185,6 +189,8 @@
 	send := f.do
 	if f.unlinked(s) {
 		send = f.relay // the other host decides on its admission
+	} else if retryAfter, ok := f.admit(s); !ok {
+		return &Response{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Reason: "the servers of the service cannot take all calls"}
 	} else if s.admission = f.cfg.Guard.Admit(s.subject()); s.admission.Verdict == quarantine.Refuse {
 		return quarantinedResponse(s)
 	}
@@ -295,6 +301,8 @@
 	switch {
 	case ctx.Err() != nil, time.Until(s.Deadline) <= responseMargin, s.refused >= maxRefusals:
 		return false
+	case f.knownFull(s, time.Now()):
+		return false
 	case s.trial() && s.sent > 0, !s.trial() && f.cfg.Guard.Held(s.subject()):
 		return false
 	case s.sent == 0:
@@ -329,13 +337,14 @@
 		f.cfg.Limits.Read(&got.Response.Header, slot.Key(), slot.Taken, now)
 		f.cfg.Departures.Read(&got.Response.Header, slot.Incarnation())
 	}
-	if busy, ok := f.parseLoad(got.Response); ok {
-		f.cfg.Table.RecordLoad(slot.ID, busy, now)
+	load, ok := f.parseLoad(got.Response)
+	if ok {
+		f.cfg.Table.RecordLoad(slot.ID, load, now)
 	}
 	if isRefusal(got.Response, f.cfg.Headers) {
 		got.Close(false)
 		cancel()
-		f.attemptRefused(s, slot, got.Response.StatusCode(), now)
+		f.attemptRefused(s, slot, got.Response.StatusCode(), load, now)
 		return nil, false
 	}
 	s.started = true
@@ -350,7 +359,8 @@
 	if status >= http.StatusInternalServerError {
 		outcome = placement.Failed
 	}
-	f.cfg.Table.Done(slot, outcome, now.Sub(slot.Taken), now)
+	f.cfg.Table.Done(slot, outcome, load.Usual(now.Sub(slot.Taken)), now)
+	f.recordServed(s, now.Sub(slot.Taken), load, now)
 	if outcome == placement.Failed && s.Idempotent() && !s.trial() && s.sent < s.Route.MaxAttempts && time.Until(s.Deadline) > attemptTimeout {
 		s.lastErr = fmt.Errorf("server responded with status %d", status)
 		s.avoid[slot.ID] = true
@@ -438,13 +448,15 @@
 }
 
 // attemptRefused records an attempt that the server did not execute.
-func (f *Forwarder) attemptRefused(s *requestState, slot placement.Slot, status int, now time.Time) {
+func (f *Forwarder) attemptRefused(s *requestState, slot placement.Slot, status int, load placement.Load, now time.Time) {
 	s.refused++
 	s.avoid[slot.ID] = true
 	s.lastErr = fmt.Errorf("server did not execute the request, status %d", status)
 	outcome := placement.Full
 	if status == http.StatusMisdirectedRequest {
 		outcome = placement.Misdirected
+	} else {
+		f.recordRefused(s, load, now)
 	}
 	f.cfg.Table.Done(slot, outcome, 0, now)
 	f.cfg.Scope.Counter("attempts_refused").Inc(1)
@@ -454,18 +466,6 @@
 	return res.StatusCode() == http.StatusMisdirectedRequest || len(res.Header.Peek(h.NotRun)) > 0
 }
 
-// parseLoad parses the load header of a response: running requests, waiting requests,
-// slots.
-func (f *Forwarder) parseLoad(res *fasthttp.Response) (busy int, ok bool) {
-	parts := strings.Split(string(res.Header.Peek(f.cfg.Headers.Load)), ",")
-	if len(parts) < 2 {
-		return 0, false
-	}
-	running, err1 := strconv.Atoi(strings.TrimSpace(parts[0]))
-	waiting, err2 := strconv.Atoi(strings.TrimSpace(parts[1]))
-	return running + waiting, err1 == nil && err2 == nil
-}
-
 func isStream(h *fasthttp.ResponseHeader) bool {
 	return h.StatusCode() == http.StatusOK && bytes.HasPrefix(h.ContentType(), []byte("text/event-stream"))
 }
--- a/internal/request/forward/refusal.go
+++ b/internal/request/forward/refusal.go
@@ -24,7 +24,7 @@
 		return &Response{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterDelay,
 			Reason: fmt.Sprintf("no server of software version %q, which began the stream, could take it", *s.Software)}
 	case s.sent == 0:
-		return &Response{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterDelay, Reason: "no server could take it"}
+		return &Response{Status: http.StatusServiceUnavailable, RetryAfter: f.fullRetryAfter(s), Reason: "no server could take it"}
 	case ctx.Err() != nil:
 		return &Response{Status: http.StatusBadGateway, Reason: "canceled: " + context.Cause(ctx).Error()}
 	case time.Until(s.Deadline) <= 2*responseMargin:
