Divide the capacity of plain services at the control leader

An answer of a process without leadership changes nothing, one of a leader of the build before ends the shares, and after 10 s without control they end by themselves.

--- a/internal/process/director/leadership.go
+++ b/internal/process/director/leadership.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/plantainbank/plantainbank/internal/connection/admission"
 	"github.com/plantainbank/plantainbank/internal/connection/ratelimit"
 	"github.com/plantainbank/plantainbank/internal/process/propagation"
 	"github.com/plantainbank/plantainbank/internal/process/roster"
@@ -48,6 +49,8 @@
 	planner *weights.Planner
 	limits  *ratelimit.Ledger
 	streams *origin.Table
+	// plain divides the capacity of plain services under pressure.
+	plain *admission.Ledger
 	// catalogChanges and rosterChanges follow changes until all hosts have them.
 	catalogChanges, rosterChanges propagation.Tracker
 	// accepted is the number of orders that an engine has accepted, by incarnation of the
@@ -96,7 +99,8 @@
 
 func newLeadership(term uint64, now time.Time) *leadership {
 	return &leadership{term: term, since: now, roster: roster.New(term << 32), hosts: map[string]map[string]*host{}, copied: map[string]rosterCopy{},
-		planner: weights.New(), limits: ratelimit.NewLedger(), streams: origin.NewTable(maxStreamRecords), accepted: map[instanceKey]uint64{}}
+		planner: weights.New(), limits: ratelimit.NewLedger(), streams: origin.NewTable(maxStreamRecords),
+		plain: admission.NewLedger(now), accepted: map[instanceKey]uint64{}}
 }
 
 // loadRoster loads the roster stored in the log. A process that has just been elected may
--- a/internal/process/director/update.go
+++ b/internal/process/director/update.go
@@ -37,6 +37,7 @@
 		Rank: entries[q.Host.Name], Compressed: q.Differences}
 	if q.Role == settings.RoleEntry {
 		n.Relays = l.relaysFor(q.Host.Name, now)
+		n.Pressures = s.pressures(l, now)
 	} else {
 		n.Rank = 0
 	}
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -127,7 +127,9 @@
 		relinked = true
 		s.log.WithFields(logrus.Fields{"entry": q.Host.Name, "unlinked": q.Unlinked}).Info("links of a host changed")
 	}
-	l.recordReport(q, now)
+	if h := l.recordReport(q, now); h.incarnation == q.Incarnation && q.Role == settings.RoleEntry && s.cfg.Site.Plain.Share {
+		l.plain.Report(q.Host.Name, q.Plain, now)
+	}
 	s.followChanges(l, q, now)
 	s.mergeCases(q.Host.Name, q.Cases, now)
 	s.recordLeaving(l, q)
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -93,6 +93,9 @@
 	Quarantine func([]*fleet.Case)
 	// Limits merges rate limits of servers; nil for hosts that need none.
 	Limits func([]*fleet.Limit)
+	// Pressures replaces the services under pressure by those in each answer of a leader; nil for hosts
+	// that need none.
+	Pressures func([]*fleet.Pressure)
 	// Self is the address of this process, which is never called.
 	Self string
 }
@@ -369,6 +372,9 @@
 		f.cfg.Limits(n.Limited)
 		s.Limits = n.Limits
 	}
+	if f.cfg.Pressures != nil && !n.Provisional {
+		f.cfg.Pressures(n.Pressures)
+	}
 	f.mu.Lock()
 	if len(n.Controls) > 0 {
 		f.controls = n.Controls
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -248,6 +248,25 @@
 	}
 }
 
+// TestPressuresAreReplaced guards against shares that outlive the pressure, and against a process without leadership that
+// ends them. A leader of the build before names none.
+func TestPressuresAreReplaced(t *testing.T) {
+	services := -1
+	f := New(Config{Changed: func(*State) {}, Pressures: func(all []*fleet.Pressure) { services = len(all) }}, nil)
+	for _, c := range []struct {
+		news *fleet.News
+		want int
+	}{
+		{&fleet.News{Pressures: []*fleet.Pressure{{Service: "a"}}}, 1},
+		{&fleet.News{Provisional: true}, 1},
+		{&fleet.News{}, 0},
+	} {
+		if err := f.apply(c.news); err != nil || services != c.want {
+			t.Errorf("%d services, want %d; %v", services, c.want, err)
+		}
+	}
+}
+
 // TestReportNowDuringReport calls ReportNow after the report of a call was made and before the
 // call is sent: the call must not wait without the news.
 func TestReportNowDuringReport(t *testing.T) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/plantainbank/plantainbank/internal/connection/admission"
 	"github.com/plantainbank/plantainbank/internal/connection/departure"
 	"github.com/plantainbank/plantainbank/internal/connection/httpheader"
 	"github.com/plantainbank/plantainbank/internal/connection/links"
@@ -70,6 +71,9 @@
 	gate  *links.Gate
 	// relayTurn counts the calls of relayHosts.
 	relayTurn atomic.Uint32
+	// admission refuses plain calls whose services are under pressure; nil if the settings do not ask
+	// for it.
+	admission *admission.Host
 	// quarantine holds the requests under which servers ended.
 	quarantine *quarantine.Table
 	// unreported is true while the next report will have a change of the quarantine.
@@ -100,12 +104,15 @@
 	s.work, s.stopWork = context.WithCancelCause(context.Background())
 	s.table.Zone = cfg.Site.Zone
 	s.table.Connected = cfg.Servers.Idle
+	if cfg.Site.Plain.Share {
+		s.admission = admission.NewHost(admission.HostConfig{Log: cfg.Log, Scope: cfg.Scope})
+	}
 	guard := quarantine.NewGuard(quarantine.GuardConfig{Table: s.quarantine, Log: cfg.Log, Scope: cfg.Scope,
 		Contact: s.hasContact, ReportNow: s.reportQuarantine})
 	s.links = links.New(links.Config{Servers: s.backendServers, Dial: cfg.Servers.Dial, DialSentinel: cfg.DialSentinel, Changed: s.linksChanged, Log: cfg.Log, Scope: cfg.Scope})
 	cfg.Servers.Dial = s.links.Dial
 	s.forwarder = forward.New(forward.Config{Links: s.links, Relays: forward.Relays{Client: cfg.Relays, Hosts: s.relayHosts}, Table: s.table, Client: cfg.Servers, Headers: cfg.Headers, Log: cfg.Log,
-		Scope: cfg.Scope, Guard: guard, Limits: ratelimit.NewReader(ratelimit.ReaderConfig{Book: s.table.Limits,
+		Scope: cfg.Scope, Guard: guard, Admission: s.admission, Limits: ratelimit.NewReader(ratelimit.ReaderConfig{Book: s.table.Limits,
 			Header: cfg.Headers.RateLimit, Log: cfg.Log, Scope: cfg.Scope}),
 		Departures: departure.NewReader(departure.ReaderConfig{Set: s.table.Departures, Header: cfg.Headers.Leaving,
 			Report: func(x departure.Incarnation) { s.feed.ReportLeaving(x) }, Log: cfg.Log, Scope: cfg.Scope}),
@@ -114,6 +121,7 @@
 	s.feed = feed.New(feed.Config{Role: settings.RoleEntry, Host: cfg.Site.Host, Incarnation: uint64(time.Now().UnixNano()),
 		Client: cfg.Client, Log: cfg.Log, Report: s.fillReport, Changed: s.applyUpdate,
 		Quarantine: func(cases []*fleet.Case) { s.quarantine.Merge(cases, time.Now()) },
+		Pressures:  func(all []*fleet.Pressure) { s.admission.Apply(all, time.Now()) },
 		Limits:     func(limits []*fleet.Limit) { permit.LogChanges(cfg.Log, s.table.Limits.Merge(limits, time.Now())) }}, cfg.Site.ControlAddrs())
 	s.permits = permit.New(permit.Config{Host: cfg.Site.Host, Book: s.table.Limits, Client: cfg.Client, Leader: s.feed.Leader,
 		Log: cfg.Log, Scope: cfg.Scope})
@@ -214,6 +222,7 @@
 	s.quarantine.Expire(now)
 	q.Cases = s.quarantine.Reported(now)
 	q.LeavingServers = feed.LeavingServers(s.table.Departures)
+	q.Plain = s.admission.Report(now)
 }
 
 // reportQuarantine reports a change of the quarantine at once. Changes until the report is
--- a/pkg/process/settings/site.go
+++ b/pkg/process/settings/site.go
@@ -60,6 +60,14 @@
 	Bounds      Bounds       `json:"bounds"`
 	Platform    SitePlatform `json:"platform"`
 	Logs        Logs         `json:"logs"`
+	Plain       Plain        `json:"plain"`
+}
+
+// Plain configures calls to plain services.
+type Plain struct {
+	// Share divides the capacity of a service that is under pressure among the workspaces, across all
+	// hosts. Control and entry processes need it.
+	Share bool `json:"share,omitempty"`
 }
 
 // Bounds are the limits that the platform requires the system to meet.
