Allow second copies of idempotent plain calls, off by default

Cause: a call waits for the server that it was sent to.

Change: with "plain": {"copies": PART}, 0 to 0.1, an idempotent plain call that takes three times the usual time is sent to a second server with a free slot, as long as the host's budget lasts: PART of its calls. The first whole answer is returned and the other attempt canceled. No copy is sent under pressure, of a quarantined request, or of a call that may run once.

Why it works: the budget of each host is a part of its calls, so all hosts together stay within that part.

--- a/internal/connection/placement/load.go
+++ b/internal/connection/placement/load.go
@@ -35,6 +35,14 @@
 	return Load{Work: s.reportedWork}.factor()
 }
 
+// UsualTime returns the median over the servers of a service of the usual time of a request; zero if it is
+// not known.
+func (t *Table) UsualTime(service string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.medianPace(service)
+}
+
 // AllFull reports whether no server of a service can be expected to take a request now: each has refused
 // one or failed a moment ago, or has reported that all its slots are in use.
 func (t *Table) AllFull(service string, now time.Time) bool {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -112,7 +112,7 @@
 	s.links = links.New(links.Config{Servers: s.backendServers, Dial: cfg.Servers.Dial, DialSentinel: cfg.DialSentinel, Changed: s.linksChanged, Log: cfg.Log, Scope: cfg.Scope})
 	cfg.Servers.Dial = s.links.Dial
 	s.forwarder = forward.New(forward.Config{Links: s.links, Relays: forward.Relays{Client: cfg.Relays, Hosts: s.relayHosts}, Table: s.table, Client: cfg.Servers, Headers: cfg.Headers, Log: cfg.Log,
-		Scope: cfg.Scope, Guard: guard, Admission: s.admission, Limits: ratelimit.NewReader(ratelimit.ReaderConfig{Book: s.table.Limits,
+		Scope: cfg.Scope, Guard: guard, Admission: s.admission, Copies: admission.NewCopies(cfg.Site.Plain.Copies, rand.Float64()), Limits: ratelimit.NewReader(ratelimit.ReaderConfig{Book: s.table.Limits,
 			Header: cfg.Headers.RateLimit, Log: cfg.Log, Scope: cfg.Scope}),
 		Departures: departure.NewReader(departure.ReaderConfig{Set: s.table.Departures, Header: cfg.Headers.Leaving,
 			Report: func(x departure.Incarnation) { s.feed.ReportLeaving(x) }, Log: cfg.Log, Scope: cfg.Scope}),
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -60,6 +60,8 @@
 	Guard *quarantine.Guard
 	// Admission refuses plain calls while their service is under pressure; nil admits all.
 	Admission *admission.Host
+	// Copies is the budget of second copies of idempotent plain calls; nil allows none.
+	Copies *admission.Copies
 	// Limits reads the rate limits in responses; nil ignores them.
 	Limits *ratelimit.Reader
 	// Departures reads from responses which servers leave; nil ignores it.
@@ -314,11 +316,24 @@
 // try sends the request to the server of a slot. done is false if another attempt could
 // succeed.
 func (f *Forwarder) try(ctx context.Context, s *requestState, slot placement.Slot) (a *Response, done bool) {
-	s.lastServer = slot.ID
+	if delay, ok := f.copyDelay(s); ok {
+		return f.tryCopied(ctx, s, slot, delay)
+	}
 	tryCtx, cancel := context.WithDeadline(ctx, f.attemptDeadline(s))
-	got, err := f.cfg.Client.Do(tryCtx, slot.Addr, f.request(s, slot), attempt.Options{
-		NewConnection: !s.Idempotent(), MaxBodyBytes: maxResponseBytes, CloseDelimited: true, Stream: !s.Buffered, StreamIf: isStream,
-		ID: s.ID, Verify: func(h *fasthttp.ResponseHeader) error { return f.verify(h, s.ID) }})
+	x := &exchange{slot: slot, cancel: cancel}
+	x.got, x.err = f.cfg.Client.Do(tryCtx, slot.Addr, f.request(s, slot), f.options(s))
+	return f.handle(ctx, s, x)
+}
+
+func (f *Forwarder) options(s *requestState) attempt.Options {
+	return attempt.Options{NewConnection: !s.Idempotent(), MaxBodyBytes: maxResponseBytes, CloseDelimited: true, Stream: !s.Buffered, StreamIf: isStream,
+		ID: s.ID, Verify: func(h *fasthttp.ResponseHeader) error { return f.verify(h, s.ID) }}
+}
+
+// handle records the end of an attempt. done is false if another attempt could succeed.
+func (f *Forwarder) handle(ctx context.Context, s *requestState, x *exchange) (a *Response, done bool) {
+	slot, got, err, cancel := x.slot, x.got, x.err, x.cancel
+	s.lastServer = slot.ID
 	now := time.Now()
 	if err != nil {
 		cancel()
--- a/pkg/process/settings/site.go
+++ b/pkg/process/settings/site.go
@@ -68,6 +68,17 @@
 	// Share divides the capacity of a service that is under pressure among the workspaces, across all
 	// hosts. Control and entry processes need it.
 	Share bool `json:"share,omitempty"`
+	// Copies is the part of the idempotent calls that may be sent to a second server when the first one takes
+	// long, 0 to maxCopies. Entry processes need it.
+	Copies float64 `json:"copies,omitempty"`
+}
+
+// maxCopies bounds Plain.Copies. In the trial of docs/design/plain-calls.md, 8.6% of the calls took three times
+// the usual time while servers were slow now and then; more copies would only add load.
+const maxCopies = 0.1
+
+func (p Plain) check() error {
+	return strictjson.Require("plain.copies", p.Copies >= 0 && p.Copies <= maxCopies, "must be 0 to 0.1")
 }
 
 // Bounds are the limits that the platform requires the system to meet.
@@ -118,6 +129,7 @@
 		c.Bounds.check(),
 		checkOptionalAddress("platform.addr", c.Platform.Addr),
 		c.Logs.check(),
+		c.Plain.check(),
 	)
 }
 
