--- a/internal/connection/admission/ledger.go
+++ b/internal/connection/admission/ledger.go
@@ -41,7 +41,7 @@
 	// If more than failedHigh of the admitted calls are taken by no server, the capacity is lowered to
 	// what they took; below failedLow it is raised. Slots without a queue that are 80% in use on
 	// average already refuse 5%.
-	failedHigh, failedLow = 0.08, 0.03
+	failedHigh, failedLow = 0.05, 0.015
 	// fullUse is the use of the slots above which the capacity is raised by minGrowth only; below, it is
 	// raised by the unused part.
 	fullUse, minGrowth = 0.9, 0.05
