Begin pressure after one poll, and count the start of a host once

Callers saw: nothing yet; found in review. A service that had been idle for a second was counted as just started, so that its rates were up to five times too high in the first reports; all servers lost at once could give a capacity that is no number.

Change: the window begins with the host, not with the service. The capacity is at least 1, and a leader that knows no slots finds no pressure. Pressure begins 0.8 s after the first sign, one poll, instead of 1 s: with true rates it would begin 0.3 s later than before.

Why it works: each host has polled once by then.

TestLostServers.

--- a/internal/connection/admission/host.go
+++ b/internal/connection/admission/host.go
@@ -40,7 +40,9 @@
 // Host counts the calls that an entry host gets and refuses those beyond the shares that the control
 // leader has named. A nil Host admits all calls. It is safe for concurrent use.
 type Host struct {
-	cfg      HostConfig
+	cfg HostConfig
+	// started is the time of the first call: before it nothing was counted.
+	started  time.Time
 	mu       sync.Mutex
 	services map[string]*hostService
 }
@@ -79,7 +81,10 @@
 func (h *Host) service(name string, now time.Time) *hostService {
 	s := h.services[name]
 	if s == nil {
-		s = &hostService{meter: meter{started: now}}
+		if h.started.IsZero() {
+			h.started = now
+		}
+		s = &hostService{meter: meter{started: h.started}}
 		h.services[name] = s
 	}
 	return s
--- a/internal/connection/admission/ledger.go
+++ b/internal/connection/admission/ledger.go
@@ -20,9 +20,10 @@
 	// minUse is the demand as a part of the measured capacity from which a service may be under
 	// pressure. The measured time of a call includes the way to the server.
 	minUse = 0.8
-	// beginAfter is how long a service must look overloaded before calls are refused. In that time all
-	// hosts whose calls were refused have reported, so that the served rate is complete.
-	beginAfter = time.Second
+	// beginAfter is how long a service must look overloaded before calls are refused. In that time each
+	// host has polled once, so that the served rate is complete. With 1 s a flood reached the servers for
+	// 0.3 s longer.
+	beginAfter = 800 * time.Millisecond
 	// adoptPeriod is how long after its election a leader takes over pressure that hosts report, and
 	// adoptWait how long hosts then keep their shares: until each has reported its demand.
 	adoptPeriod, adoptWait = 3 * time.Second, 1700 * time.Millisecond
@@ -186,7 +187,7 @@
 // response tells of a free slot, and the demand exceeds what the slots can take. Servers that are
 // slow for a moment, or a burst, meet at most some of that.
 func (t total) overloaded(slots int) bool {
-	return t.fullCount >= minFull && t.fullCount >= t.freeCount && t.mean > 0 &&
+	return slots > 0 && t.fullCount >= minFull && t.fullCount >= t.freeCount && t.mean > 0 &&
 		t.begun >= minUse*float64(slots)/t.mean.Seconds()
 }
 
@@ -286,7 +287,7 @@
 // step changes the capacity. Calls that no server took are the only reason to lower it: servers that
 // are lost or slow show by them that they cannot take what they get. It is raised while there are none,
 // the faster the fewer slots are in use. One call per slot and second is the least, so that servers
-// that are back are noticed.
+// that are back are noticed; slots may be zero, as after a loss of all servers.
 func (s *state) step(t total, slots int, now time.Time) {
 	factor, wait := 1.0, raiseInterval
 	switch part := t.failedPart(); {
@@ -300,7 +301,7 @@
 		factor += minGrowth
 	}
 	if now.Sub(s.steppedAt) >= wait {
-		s.capacity, s.steppedAt = max(factor*s.capacity, float64(slots)), now
+		s.capacity, s.steppedAt = max(factor*s.capacity, float64(slots), 1), now
 	}
 }
 
--- a/internal/connection/admission/ledger_test.go
+++ b/internal/connection/admission/ledger_test.go
@@ -36,6 +36,38 @@
 	}
 }
 
+// TestLostServers guards against a capacity that is no number, or stays near zero, after all servers were lost, and
+// against pressure by a leader that knows no servers yet.
+func TestLostServers(t *testing.T) {
+	l, now, slots := NewLedger(start), start.Add(time.Hour), 0
+	load := &fleet.PlainLoad{Service: "plain", Spanms: 1000, Served: 700, Meanus: 25000, Full: 900, Failed: 900,
+		Flows: []*fleet.PlainFlow{{Workspace: "a", Begun: 1600}}}
+	var p []*fleet.Pressure
+	run := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(200 * time.Millisecond) {
+			l.Report("h", []*fleet.PlainLoad{load}, now)
+			p = l.Pressures(func(string) int { return slots }, now)
+		}
+	}
+	if run(5 * time.Second); len(p) != 0 {
+		t.Error("pressure without servers")
+	}
+	slots = 18
+	if run(2 * time.Second); len(p) != 1 || len(p[0].Shares) != 1 {
+		t.Fatalf("no pressure: %v", p)
+	}
+	slots, load.Served = 0, 0
+	run(60 * time.Second)
+	if c := p[0].Capacity; c != 1 {
+		t.Errorf("capacity %v after the loss of all servers, want 1", c)
+	}
+	slots, load.Failed, load.Full, load.Served, load.Free, load.Busy = 18, 0, 0, 18, 18, 5
+	run(12 * time.Second)
+	if c := p[0].Capacity; !(c > 300) {
+		t.Errorf("capacity %v 12 s after the servers are back", c)
+	}
+}
+
 // BenchmarkAdmit measures what a call costs an entry host while no service is under pressure.
 func BenchmarkAdmit(b *testing.B) {
 	log := logrus.New()
