--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -99,6 +99,9 @@
 	Limits func([]*fleet.Limit)
 	// EventTimes stores the event times of engines; nil for hosts that need none.
 	EventTimes func([]*fleet.EventTime)
+	// Pressures replaces the services under pressure by those in each answer of a leader; nil for hosts
+	// that need none.
+	Pressures func([]*fleet.Pressure)
 	// Self is the address of this process, which is never called.
 	Self string
 }
@@ -378,6 +381,9 @@
 	if f.cfg.EventTimes != nil && len(n.EventTimes) > 0 {
 		f.cfg.EventTimes(n.EventTimes)
 	}
+	if f.cfg.Pressures != nil && !n.Provisional {
+		f.cfg.Pressures(n.Pressures)
+	}
 	f.mu.Lock()
 	if len(n.Controls) > 0 {
 		f.controls = n.Controls
--- a/pkg/process/settings/site.go
+++ b/pkg/process/settings/site.go
@@ -61,6 +61,25 @@
 	Platform    SitePlatform `json:"platform"`
 	Scheduling  Scheduling   `json:"scheduling"`
 	Logs        Logs         `json:"logs"`
+	Plain       Plain        `json:"plain"`
+}
+
+// Plain configures calls to plain services.
+type Plain struct {
+	// Share divides the capacity of a service that is under pressure among the workspaces, across all
+	// hosts. Control and entry processes need it.
+	Share bool `json:"share,omitempty"`
+	// Copies is the part of the idempotent calls that may be sent to a second server when the first one takes
+	// long, 0 to maxCopies. Entry processes need it.
+	Copies float64 `json:"copies,omitempty"`
+}
+
+// maxCopies bounds Plain.Copies. In the trial of docs/design/plain-calls.md, 8.6% of the calls took three times
+// the usual time while servers were slow now and then; more copies would only add load.
+const maxCopies = 0.1
+
+func (p Plain) check() error {
+	return strictjson.Require("plain.copies", p.Copies >= 0 && p.Copies <= maxCopies, "must be 0 to 0.1")
 }
 
 // Scheduling switches on how a store host places the items of batches.
@@ -147,6 +166,7 @@
 		checkOptionalAddress("platform.addr", c.Platform.Addr),
 		c.Scheduling.check(c.MemoryMB),
 		c.Logs.check(),
+		c.Plain.check(),
 	)
 }
 
