Collect all errors of a configuration

What operators get: nothing new yet. routing.Config.Errors returns every error by field, for the command that checks a configuration before it is sent. Check returns the first of them, so the server answers as before.

Measured: go test -race ./internal/version/routing passes; TestErrorsNamesEveryField shows four errors in one configuration in the order in which Check found them one by one.

--- a/internal/version/routing/check.go
+++ b/internal/version/routing/check.go
@@ -10,58 +10,65 @@
 
 func (e *FieldError) Error() string { return e.Field + " " + e.Problem }
 
-// Check returns a *FieldError if the configuration is invalid.
+// Check returns the first of Errors, or nil.
 func (c *Config) Check() error {
+	if errs := c.Errors(); len(errs) > 0 {
+		return errs[0]
+	}
+	return nil
+}
+
+// Errors returns all errors that make the configuration invalid.
+func (c *Config) Errors() (errs []*FieldError) {
 	services := map[string]bool{}
 	for i, s := range c.Services {
 		if s.Name == "" {
-			return &FieldError{fmt.Sprintf("services[%d].name", i), "is missing"}
+			errs = append(errs, &FieldError{fmt.Sprintf("services[%d].name", i), "is missing"})
 		}
 		services[s.Name] = true
 	}
 	seen := map[string]bool{}
 	for i := range c.Routes {
-		if err := c.Routes[i].check(fmt.Sprintf("routes[%d]", i), services, seen); err != nil {
-			return err
-		}
+		errs = append(errs, c.Routes[i].errors(fmt.Sprintf("routes[%d]", i), services, seen)...)
 	}
-	return c.checkKeys()
+	return append(errs, c.keyErrors()...)
 }
 
-func (r *Route) check(field string, services, seen map[string]bool) error {
+func (r *Route) errors(field string, services, seen map[string]bool) (errs []*FieldError) {
 	key := r.Host + " " + r.Prefix
-	switch {
-	case seen[key]:
-		return &FieldError{field + ".prefix", fmt.Sprintf("%q stands twice for host %q", r.Prefix, r.Host)}
-	case r.Timeout <= 0:
-		return &FieldError{field + ".timeout", "must be above 0"}
+	if seen[key] {
+		errs = append(errs, &FieldError{field + ".prefix", fmt.Sprintf("%q stands twice for host %q", r.Prefix, r.Host)})
 	}
 	seen[key] = true
-	sum := 0.0
+	if r.Timeout <= 0 {
+		errs = append(errs, &FieldError{field + ".timeout", "must be above 0"})
+	}
+	sum, negative := 0.0, false
 	for _, t := range r.Targets {
 		if !services[t.Service] {
-			return &FieldError{field + ".service", fmt.Sprintf("names the unknown service %q", t.Service)}
+			errs = append(errs, &FieldError{field + ".service", fmt.Sprintf("names the unknown service %q", t.Service)})
 		}
 		if t.Weight < 0 {
-			return &FieldError{field + ".weight", "must not be negative"}
+			errs = append(errs, &FieldError{field + ".weight", "must not be negative"})
+			negative = true
 		}
 		sum += t.Weight
 	}
-	if sum <= 0 {
-		return &FieldError{field + ".weight", "the weights add up to 0"}
+	if sum <= 0 && !negative {
+		errs = append(errs, &FieldError{field + ".weight", "the weights add up to 0"})
 	}
-	return nil
+	return errs
 }
 
-func (c *Config) checkKeys() error {
+func (c *Config) keyErrors() (errs []*FieldError) {
 	owners := map[string]string{}
 	for i, w := range c.Workspaces {
 		for _, key := range w.Keys {
 			if other, ok := owners[key]; ok && other != w.Name {
-				return &FieldError{fmt.Sprintf("workspaces[%d].keys", i), fmt.Sprintf("shares a key with workspace %q", other)}
+				errs = append(errs, &FieldError{fmt.Sprintf("workspaces[%d].keys", i), fmt.Sprintf("shares a key with workspace %q", other)})
 			}
 			owners[key] = w.Name
 		}
 	}
-	return nil
+	return errs
 }
--- a/internal/version/routing/routing_test.go
+++ b/internal/version/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 )
@@ -45,6 +46,22 @@
 	}
 }
 
+// TestErrorsNamesEveryField checks that one error does not hide those after it, and that Check returns the first.
+func TestErrorsNamesEveryField(t *testing.T) {
+	cfg := validConfig()
+	cfg.Services = append(cfg.Services, Service{})
+	cfg.Routes[0].Timeout, cfg.Routes[0].Targets[0].Service = 0, "z"
+	cfg.Routes[1].Targets[1].Weight = 0
+	var got []string
+	for _, e := range cfg.Errors() {
+		got = append(got, e.Field)
+	}
+	want := []string{"services[2].name", "routes[0].timeout", "routes[0].service", "routes[1].weight"}
+	if !slices.Equal(got, want) || cfg.Check().Error() != cfg.Errors()[0].Error() {
+		t.Errorf("errors at %v, want %v; Check returns %v", got, want, cfg.Check())
+	}
+}
+
 func TestTableFindsTheLongestPrefix(t *testing.T) {
 	table := NewTable(validConfig())
 	for path, want := range map[string]string{"/x/1": "wide", "/x/y/1": "narrow", "/x/y": "wide", "/z/": ""} {
