--- /dev/null
+++ b/internal/version/review/difference.go
@@ -0,0 +1,100 @@
+package review
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/plantainbank/plantainbank/internal/version/routing"
+)
+
+// Change is a difference between two configurations.
+type Change struct {
+	// Section is routes, services, workspaces or limits.
+	Section string `json:"section"`
+	// Entry identifies the entry of a list.
+	Entry string `json:"entry,omitempty"`
+	// Field is empty if the whole entry was added or removed.
+	Field string `json:"field,omitempty"`
+	// Before is empty for an added entry, After for a removed one.
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// whole is the value of an added or removed entry.
+const whole = "present"
+
+// Changes returns what differs between two configurations, apart from the version. Entries are
+// identified by name, unnamed routes by host and prefix; their order has no meaning to requests.
+func Changes(before, after *routing.Config) []Change {
+	out := diff("routes", before.Routes, after.Routes, func(r routing.Route) string {
+		if r.Name == "" {
+			return r.Host + r.Prefix
+		}
+		return r.Name
+	})
+	out = append(out, diff("services", before.Services, after.Services, func(s routing.Service) string { return s.Name })...)
+	out = append(out, diff("workspaces", before.Workspaces, after.Workspaces, func(w routing.Workspace) string { return w.Name })...)
+	return append(out, fields("limits", "", reflect.ValueOf(before.Limits), reflect.ValueOf(after.Limits))...)
+}
+
+// diff compares the entries of two lists. Entries of the same name are paired in their order.
+func diff[T any](section string, before, after []T, name func(T) string) (out []Change) {
+	rest := slices.Clone(before)
+	for _, a := range after {
+		i := slices.IndexFunc(rest, func(b T) bool { return name(b) == name(a) })
+		if i < 0 {
+			out = append(out, Change{Section: section, Entry: name(a), After: whole})
+			continue
+		}
+		out = append(out, fields(section, name(a), reflect.ValueOf(rest[i]), reflect.ValueOf(a))...)
+		rest = slices.Delete(rest, i, i+1)
+	}
+	for _, b := range rest {
+		out = append(out, Change{Section: section, Entry: name(b), Before: whole})
+	}
+	return out
+}
+
+// fields compares the fields of two structs of the same type.
+func fields(section, entry string, before, after reflect.Value) (out []Change) {
+	for i := range before.NumField() {
+		b, a := before.Field(i), after.Field(i)
+		if reflect.DeepEqual(b.Interface(), a.Interface()) || b.Kind() == reflect.Slice && b.Len()+a.Len() == 0 {
+			continue
+		}
+		name, _, _ := strings.Cut(before.Type().Field(i).Tag.Get("json"), ",")
+		c := Change{Section: section, Entry: entry, Field: name, Before: format(b), After: format(a)}
+		if name == "keys" {
+			c.Before, c.After = keyCounts(b.Interface().([]string), a.Interface().([]string))
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// keyCounts describes two lists of keys without naming the keys, since they are secrets.
+func keyCounts(before, after []string) (string, string) {
+	missing := func(from, in []string) (n int) {
+		for _, k := range from {
+			if !slices.Contains(in, k) {
+				n++
+			}
+		}
+		return n
+	}
+	return fmt.Sprintf("%d keys", len(before)),
+		fmt.Sprintf("%d keys (%d added, %d removed)", len(after), missing(after, before), missing(before, after))
+}
+
+// format returns a value for the output; a missing one is "none".
+func format(v reflect.Value) string {
+	if v.Kind() == reflect.Pointer && v.IsNil() || v.Kind() == reflect.Slice && v.Len() == 0 || v.Kind() == reflect.String && v.Len() == 0 {
+		return "none"
+	}
+	if v.Kind() == reflect.Pointer {
+		v = v.Elem()
+	}
+	return fmt.Sprintf("%+v", v.Interface())
+}
