Check a configuration before it is sent

Exit codes: 0 without findings, 1 with findings, 2 if the command line is wrong or a configuration cannot be read. A change alone is no finding, since changing something is why a configuration is sent.

Why: control accepts configurations whose entries never match or whose limits contradict each other, and answers with success when a version is not above the one in force.

The roles of site are commands of their own now, as the argument library cannot place a command where a role may stand.

--- a/cmd/plantainbank/cmds/cmds.go
+++ b/cmd/plantainbank/cmds/cmds.go
@@ -21,7 +21,7 @@
 // Exit codes.
 const (
 	exitOK = 0
-	// exitFailed: the command failed.
+	// exitFailed: the command failed, or a check has findings.
 	exitFailed = 1
 	// exitUsage: the command line, a settings file or a record is invalid.
 	exitUsage = 2
@@ -31,7 +31,7 @@
 	exitUnknown = 4
 )
 
-// UsageError reports an invalid command line or input file.
+// UsageError reports an invalid command line or input that cannot be read.
 type UsageError struct{ Problem string }
 
 func (e *UsageError) Error() string { return e.Problem }
@@ -83,7 +83,11 @@
 // table returns all commands in the order in which the help lists them.
 func table() []command {
 	return []command{
-		controlCommand(), entryCommand(), siteCommand(), checkCommand(),
+		controlCommand(), entryCommand(), checkCommand(),
+		siteCommand(settings.RoleEntry, "Run an entry process of a site: it serves callers and trainers."),
+		siteCommand(settings.RoleControl, "Run a control process of a site: it serves operators and backend servers and keeps the configuration."),
+		siteCommand(settings.RoleStore, "Run a store process of a site: it keeps batches and runs their items."),
+		siteCheckCommand(),
 		recordPutCommand(), recordGetCommand(), recordListCommand(), recordWithdrawCommand(), recordWaitCommand(),
 		keyNewCommand(), keyWithdrawCommand(), stepShowCommand(), statusCommand(), whyCommand(),
 		replicaListCommand(), replicaAddCommand(), replicaRemoveCommand(),
@@ -93,6 +97,7 @@
 
 // groupHelp describes the command groups.
 var groupHelp = map[string]string{
+	"site":     "Run a process of a site under the users' platform, or check its configuration.",
 	"record":   "Submit, read and withdraw records.",
 	"key":      "Create and withdraw keys.",
 	"step":     "Show training steps.",
--- a/cmd/plantainbank/cmds/cmds_test.go
+++ b/cmd/plantainbank/cmds/cmds_test.go
@@ -25,11 +25,19 @@
 	})
 }
 
-// TestScripts runs the scripts in testdata against the command line.
+// TestScripts runs the scripts in testdata against the command line. $FOLLOWER is the address of a stand-in for a
+// control process that redirects each call to its leader, which serves the files of the script's folder "leader".
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: func(e *testscript.Env) error {
 		fixtures, err := filepath.Abs("../../../_fixtures")
 		e.Setenv("FIXTURES", fixtures)
+		leader := httptest.NewServer(http.FileServer(http.Dir(filepath.Join(e.WorkDir, "leader"))))
+		follower := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, leader.URL+r.URL.RequestURI(), http.StatusTemporaryRedirect)
+		}))
+		e.Defer(leader.Close)
+		e.Defer(follower.Close)
+		e.Setenv("FOLLOWER", follower.Listener.Addr().String())
 		return err
 	}})
 }
--- a/cmd/plantainbank/cmds/site.go
+++ b/cmd/plantainbank/cmds/site.go
@@ -6,23 +6,17 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/plantainbank/plantainbank/pkg/process/settings"
-	"github.com/plantainbank/plantainbank/pkg/version/strictjson"
 	"github.com/plantainbank/plantainbank/platform"
 )
 
-func siteCommand() command {
-	var role string
+// siteCommand returns the command that runs a process of a site in one role.
+func siteCommand(role, help string) command {
 	return command{
-		path: "site",
-		help: "Run a process of a site under the users' platform.",
+		path: "site " + role,
+		help: help,
 		detail: "The platform passes the path of the settings file in the environment. Runs until SIGTERM or SIGINT, then shuts down " +
 			"gracefully and exits 0. SIGHUP reloads the seeds.",
-		args: []argument{{"role", "The role: entry, control or store.", &role}},
 		run: func(*env) error {
-			if err := strictjson.OneOf("role", role, settings.RoleControl, settings.RoleEntry, settings.RoleStore); err != nil {
-				return err
-			}
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			return platform.Run(ctx, role, reloadSignals())
--- a/internal/version/review/difference.go
+++ b/internal/version/review/difference.go
@@ -74,7 +74,7 @@
 	return out
 }
 
-// keyCounts describes two lists of keys without naming the keys, since they are secrets.
+// keyCounts returns the numbers of keys in two lists instead of the keys, since these are secrets.
 func keyCounts(before, after []string) (string, string) {
 	missing := func(from, in []string) (n int) {
 		for _, k := range from {
@@ -84,8 +84,7 @@
 		}
 		return n
 	}
-	return fmt.Sprintf("%d keys", len(before)),
-		fmt.Sprintf("%d keys (%d added, %d removed)", len(after), missing(after, before), missing(before, after))
+	return fmt.Sprint(len(before)), fmt.Sprintf("%d (%d added, %d removed)", len(after), missing(after, before), missing(before, after))
 }
 
 // format returns a value for the output; a missing one is "none".
--- a/internal/version/review/review_test.go
+++ b/internal/version/review/review_test.go
@@ -38,6 +38,7 @@
 		{"", func(c *routing.Config, _ *Site) { c.Routes[0].Kind, c.Routes[0].MaxAttempts = routing.Once, 0 }},
 		{"", func(c *routing.Config, _ *Site) { c.Workspaces, c.Routes[0].Public = nil, true }},
 		{"", func(c *routing.Config, _ *Site) { c.Routes[0].Prefix = "/" }},
+		{"", func(c *routing.Config, _ *Site) { c.Routes[1].Name, c.Routes[1].Host = "plain", "other" }},
 		{"", func(c *routing.Config, _ *Site) { c.Routes[0].Prefix = "/steps/longer/" }},
 		{"invalid routes[0].timeout", func(c *routing.Config, _ *Site) { c.Routes[0].Timeout = 0 }},
 		{"unreachable routes[0].host", func(c *routing.Config, _ *Site) { c.Routes[0].Host = "H" }},
@@ -93,7 +94,7 @@
 	after.Workspaces[0].Keys = []string{"secret2", "secret3"}
 	after.Limits.IdleTimeout = 0
 	got := Changes(before, after)
-	want := `[{routes plain timeout 800ms 1s} {services new   present} {services engine  present } {workspaces w keys 1 keys 2 keys (2 added, 1 removed)} {limits  idle 15s 0s}]`
+	want := `[{routes plain timeout 800ms 1s} {services new   present} {services engine  present } {workspaces w keys 1 2 (2 added, 1 removed)} {limits  idle 15s 0s}]`
 	if fmt.Sprint(got) != want {
 		t.Errorf("got  %v\nwant %s", got, want)
 	}
