Write large batches to the log without a copy of the encoded form

A submission of 30 MB took a store leader to 158 MB, 4 MB more than the smallest store host has. A write to the log held the entry, its gob encoding, the buffer with that encoding and the frame. The frame of a small batch is now built in place, and a batch above 1 MB is encoded twice: for the size and checksum of the header, then into the file. The format is the same. A write that was interrupted leaves a frame without a valid checksum at the end, as before.

--- a/pkg/process/disk/disk.go
+++ b/pkg/process/disk/disk.go
@@ -18,6 +18,7 @@
 	"syscall"
 
 	"github.com/zeebo/errs"
+	"github.com/zeebo/xxh3"
 )
 
 // Error wraps failures of the file system.
@@ -64,8 +65,13 @@
 	snapshotFile     = "snapshot"
 	segmentSuffix    = ".log"
 	frameHeaderBytes = 12
-	maxFrameBytes    = 256 << 20
-	segmentBytes     = 16 << 20
+	// gobBytes and gobEntryBytes are estimates of what the encoding of a batch and of each entry adds.
+	gobBytes, gobEntryBytes = 256, 10
+	// streamedBytes is the size from which on a batch is not encoded in memory. A batch of a store host may
+	// have 30 MB.
+	streamedBytes = 1 << 20
+	maxFrameBytes = 256 << 20
+	segmentBytes  = 16 << 20
 )
 
 // Files contains the file operations, so that tests can inject faults into them.
@@ -234,14 +240,39 @@
 
 // writeFrame writes a batch as a frame and returns the number of bytes written.
 func (d *Disk) writeFrame(f *os.File, b Batch) (int64, error) {
-	var buf bytes.Buffer
-	if err := gob.NewEncoder(&buf).Encode(b); err != nil {
+	size := frameHeaderBytes + len(b.Hard) + gobBytes
+	for _, e := range b.Entries {
+		size += len(e) + gobEntryBytes
+	}
+	if size > streamedBytes {
+		return d.streamFrame(f, b)
+	}
+	buf := bytes.NewBuffer(make([]byte, frameHeaderBytes, size))
+	if err := gob.NewEncoder(buf).Encode(b); err != nil {
 		return 0, Error.Wrap(err)
 	}
-	n, err := d.files.Write(f, frame(buf.Bytes()))
+	p := buf.Bytes()
+	putHeader(p, p[frameHeaderBytes:])
+	n, err := d.files.Write(f, p)
 	return int64(n), Error.Wrap(err)
 }
 
+// streamFrame writes a large batch, which it encodes twice rather than holding the encoded form: the header has
+// the size and the checksum. A write that was interrupted leaves an invalid frame, as in writeFrame.
+func (d *Disk) streamFrame(f *os.File, b Batch) (int64, error) {
+	x := &frameWriter{write: func(p []byte) (int, error) { return len(p), nil }, hash: xxh3.New()}
+	if err := gob.NewEncoder(x).Encode(b); err != nil {
+		return 0, Error.Wrap(err)
+	}
+	n, err := d.files.Write(f, x.header())
+	if err != nil {
+		return int64(n), Error.Wrap(err)
+	}
+	y := &frameWriter{write: func(p []byte) (int, error) { return d.files.Write(f, p) }, hash: xxh3.New()}
+	err = gob.NewEncoder(y).Encode(b)
+	return int64(n + y.size), Error.Wrap(err)
+}
+
 // fail records err, unless it is a *FullError, so that all later writes are refused.
 func (d *Disk) fail(err error) error {
 	var full *FullError
--- a/pkg/process/disk/disk_test.go
+++ b/pkg/process/disk/disk_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 )
@@ -398,3 +399,33 @@
 	defer d.Close()
 	return texts(saved)
 }
+
+func frame(body []byte) []byte {
+	p := make([]byte, frameHeaderBytes, frameHeaderBytes+len(body))
+	putHeader(p, body)
+	return append(p, body...)
+}
+
+// TestLargeBatchIsReadAgain guards against a batch that is written in several parts and cannot be read, or is
+// taken for written when a part of it is missing.
+func TestLargeBatchIsReadAgain(t *testing.T) {
+	large := strings.Repeat("0123456789abcdef", 2*streamedBytes/16)
+	for _, x := range []struct {
+		cut  int64
+		want int
+	}{{0, 3}, {streamedBytes, 2}, {1, 2}} {
+		dir := t.TempDir()
+		d, _ := mustOpen(t, dir, RealFiles())
+		mustAppend(t, d, 1, large, "small")
+		mustAppend(t, d, 3, large)
+		d.Close()
+		if err := os.Truncate(filepath.Join(dir, fmt.Sprintf("%012d%s", d.number, segmentSuffix)), d.size-x.cut); err != nil {
+			t.Fatal(err)
+		}
+		again, saved := mustOpen(t, dir, RealFiles())
+		again.Close()
+		if len(saved.Entries) != x.want || string(saved.Entries[0]) != large {
+			t.Errorf("%d entries read after %d bytes were cut, want %d", len(saved.Entries), x.cut, x.want)
+		}
+	}
+}
--- a/pkg/process/disk/frame.go
+++ b/pkg/process/disk/frame.go
@@ -65,9 +65,8 @@
 	return p
 }
 
-func frame(body []byte) []byte {
-	p := make([]byte, frameHeaderBytes, frameHeaderBytes+len(body))
+// putHeader writes the header of a frame with the given body to the beginning of p.
+func putHeader(p, body []byte) {
 	binary.LittleEndian.PutUint32(p, uint32(len(body)))
 	binary.LittleEndian.PutUint64(p[4:], xxh3.Hash(body))
-	return append(p, body...)
 }
