--- a/internal/connection/bodies/bodies.go
+++ b/internal/connection/bodies/bodies.go
@@ -193,6 +193,9 @@
 	}
 }
 
+// Size returns the size of the account.
+func (a *Account) Size() int64 { return a.size }
+
 // Used returns the number of bytes in use.
 func (a *Account) Used() int64 {
 	a.mu.Lock()
