Hold large batches once, and make room before answers are encoded

A submission of 30 MB took 145 MB at an entry host of 144 MB and 158 MB at a store leader of 154 MB; 60 clients that read answers of 3 MB of a store host and left them took it to 403 MB. A batch was held decoded and encoded while it was sent and proposed; a call that was repeated after 0.9 s, while the first proposal was under way, wrote the batch to the log again (209 MB seen); answers were encoded all at once.

The gateway drops the items once they are encoded, the store drops the encoded form once it is decoded and the decoded one once it is proposed. Repeated calls of a submission wait for the proposal that is under way, which goes on when its caller has left. Answers of the Batches service reserve room before they are encoded.

--- a/internal/process/gateway/batches.go
+++ b/internal/process/gateway/batches.go
@@ -194,11 +194,14 @@
 // Submit stores a batch, once. The error is ErrNotStored if it is definitely not stored,
 // ErrOutcomeUnknown if it may be, and a *batch.EncodeError if it never can be. A batch whose caller has disconnected is not stored: this
 // process may have been suspended since it received the batch, and the caller may have ended it.
+// Submit takes the items out of the batch.
 func (s *Server) Submit(ctx context.Context, x *batch.Batch, disconnected func() bool) error {
 	data, err := x.Encode()
 	if err != nil {
 		return err
 	}
+	items := len(x.Items)
+	x.Items = nil // a large batch must not be held decoded and encoded while it is sent
 	if disconnected() {
 		s.log.WithField("batch", x.ID).Info("batch dropped, its caller has disconnected")
 		return ErrNotStored
@@ -211,7 +214,7 @@
 		_, err := c.Submit(ctx, &fleet.Submission{Id: x.ID, Batch: data})
 		return err
 	})
-	entry := s.log.WithFields(logrus.Fields{"batch": x.ID, "items": len(x.Items), "step": x.Step, "route": x.Route,
+	entry := s.log.WithFields(logrus.Fields{"batch": x.ID, "items": items, "step": x.Step, "route": x.Route,
 		"lead": s.feed.State().StoreLeader}).WithFields(o.logFields())
 	switch {
 	case err == nil:
--- a/internal/process/store/batches.go
+++ b/internal/process/store/batches.go
@@ -32,18 +32,20 @@
 	if b.ID == "" || b.ID != q.Id {
 		return nil, twirp.InvalidArgumentError("id", "does not match the batch")
 	}
+	q.Batch = nil // a large batch must not be held encoded and decoded
 	known := false
 	err = s.onLeader(ctx, func() {
 		if known = s.batches.Get(b.ID) != nil; !known {
 			s.batches.ReuseResults(b)
 		}
 	})
+	// b is not used after its proposal, so that it does not stay in memory beside the batch that is applied.
+	entry := s.log.WithFields(logrus.Fields{"batch": b.ID, "items": len(b.Items), "step": b.Step, "route": b.Route,
+		"min_version": b.MinVersion, "known": known, "carried": len(b.Results)})
 	if err == nil && !known {
 		b.Submitted = time.Now().UnixMilli()
-		err = s.proposeWithin(ctx, &batch.Command{Accept: b})
+		err = s.submitOnce(ctx, b)
 	}
-	entry := s.log.WithFields(logrus.Fields{"batch": b.ID, "items": len(b.Items), "step": b.Step, "route": b.Route,
-		"min_version": b.MinVersion, "known": known, "carried": len(b.Results)})
 	if err != nil {
 		entry.WithError(err).Warn("batch not accepted")
 		return nil, toTwirpError(err)
@@ -53,6 +55,22 @@
 	return &fleet.Nothing{}, nil
 }
 
+// submitOnce proposes a batch, or waits for the outcome of the proposal of the same batch that is under way. The
+// proposal goes on when its caller has left, since the caller repeats the call.
+func (s *Server) submitOnce(ctx context.Context, b *batch.Batch) error {
+	outcome := s.submits.DoChan(b.ID, func() (any, error) {
+		c := &batch.Command{Accept: b}
+		b = nil // otherwise the batch stays in memory until the proposal is decided
+		return nil, s.proposeWithin(context.WithoutCancel(ctx), c)
+	})
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case x := <-outcome:
+		return x.Err
+	}
+}
+
 func (s *Server) proposeWithin(ctx context.Context, c *batch.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -8,9 +8,12 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
+	"github.com/plantainbank/plantainbank/internal/connection/bodylimit"
 	"github.com/plantainbank/plantainbank/internal/connection/httpheader"
 	"github.com/plantainbank/plantainbank/internal/process/feed"
 	"github.com/plantainbank/plantainbank/internal/process/permit"
@@ -54,6 +57,9 @@
 	feed    *feed.Feed
 	batches *batch.Store
 	driver  *driver
+	// submits holds the submissions that are being stored, by batch ID. A call that is repeated meanwhile must
+	// not write a large batch to the log once more.
+	submits singleflight.Group
 	permits *permit.Client
 	// changed is closed and replaced when a batch changes, to wake waiting readers.
 	changed chan struct{}
@@ -95,7 +101,7 @@
 	mux := http.NewServeMux()
 	p := peer.NewPeerServer(s.replica.Service())
 	mux.Handle(p.PathPrefix(), p)
-	b := fleet.NewBatchesServer(s)
+	b := fleet.NewBatchesServer(s, twirp.WithServerInterceptors(bodylimit.Interceptor))
 	mux.Handle(b.PathPrefix(), b)
 	return mux
 }
