Bound the memory that clients can take in the processes of a site

Callers saw an entry process end: clients sent many chunked bodies at a time, stopped short of the end and stayed.

--- a/pkg/process/settings/site.go
+++ b/pkg/process/settings/site.go
@@ -58,6 +58,7 @@
 	// are not served.
 	MetricsAddr string       `json:"metrics,omitempty"`
 	Bounds      Bounds       `json:"bounds"`
+	Bodies      Bodies       `json:"bodies"`
 	Platform    SitePlatform `json:"platform"`
 	Logs        Logs         `json:"logs"`
 }
@@ -78,6 +79,19 @@
 	ResultRetention Millis `json:"keep"`
 }
 
+// Bodies limits what clients can make a process hold in memory. Zero stands for the default.
+type Bodies struct {
+	// MemoryMB is the size of all request bodies and unread answers together. The default is a fraction of
+	// the memory limit.
+	MemoryMB int `json:"memory,omitempty"`
+	// Stall ends a body of which nothing arrives, or an answer of which nothing is read, for this
+	// long. The default is 10 s.
+	Stall Millis `json:"stall,omitempty"`
+	// Connections is the maximum number of connections of clients. The default follows from the
+	// memory limit.
+	Connections int `json:"connections,omitempty"`
+}
+
 // SitePlatform configures the platform's interface for orders and usage.
 type SitePlatform struct {
 	// Addr is empty if the platform has no such interface.
@@ -108,6 +122,7 @@
 		checkOptionalAddress("metrics", c.MetricsAddr),
 		c.checkRole(),
 		c.Bounds.check(),
+		c.Bodies.check(c.MemoryMB),
 		checkOptionalAddress("platform.addr", c.Platform.Addr),
 		c.Logs.check(),
 	)
@@ -132,6 +147,15 @@
 	)
 }
 
+func (b Bodies) check(memoryMB int) error {
+	return strictjson.First(
+		strictjson.Require("bodies.memory", b.MemoryMB >= 0 && b.MemoryMB <= memoryMB, "must be 0 (the default) to the value of \"memory\""),
+		strictjson.Require("bodies.stall", b.Stall == 0 || b.Stall >= 1000 && b.Stall <= 20000, "must be 0 (the default) or 1000 to 20000 ms"),
+		strictjson.Require("bodies.connections", b.Connections == 0 || b.Connections >= 16 && b.Connections <= 1<<20,
+			"must be 0 (the default) or 16 to 1048576"),
+	)
+}
+
 // InternalAddr returns the address for calls from the system's own processes.
 func (c *Site) InternalAddr() string { return net.JoinHostPort(c.IP, strconv.Itoa(c.Ports[0])) }
 
