Bound the memory of bodies in the product's entry and control

120 clients with bodies of 4 MB took an entry process to 417 MB, at its three listeners one after another to 1061 MB; 20 clients with 30 MB took control to 1499 MB, since a call had no limit at all.

--- a/pkg/process/control/control.go
+++ b/pkg/process/control/control.go
@@ -20,6 +20,8 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/plantainbank/plantainbank/internal/connection/bodies"
+	"github.com/plantainbank/plantainbank/internal/connection/bodylimit"
 	"github.com/plantainbank/plantainbank/pkg/process/disk"
 	"github.com/plantainbank/plantainbank/pkg/process/fleet"
 	"github.com/plantainbank/plantainbank/pkg/process/ledger"
@@ -70,6 +72,12 @@
 	fleetShortageCooldown = 10 * time.Second
 )
 
+// Timeouts of the bodies of calls: bodyStall without any progress, bodyTimeout for the whole.
+const (
+	bodyStall   = 10 * time.Second
+	bodyTimeout = 20 * time.Second
+)
+
 // Options contains what New needs besides the settings.
 type Options struct {
 	Log   *logrus.Entry
@@ -144,9 +152,11 @@
 	if err != nil {
 		return err
 	}
-	srv := &http.Server{Handler: s.handler(), TLSConfig: tlsConfig, ReadHeaderTimeout: 10 * time.Second}
+	l := bodylimit.New(bodylimit.Config{Account: bodies.New(int64(s.cfg.FlightBytes)), Stall: bodyStall,
+		Total: bodyTimeout, Log: s.log, Scope: s.scope})
+	srv := l.HTTPServer(&http.Server{Handler: s.handler(), TLSConfig: tlsConfig, ReadHeaderTimeout: 10 * time.Second}, s.cfg.MaxBodyBytes)
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return serve(srv, lis) })
+	g.Go(func() error { return serve(srv, l.Listener(lis)) })
 	g.Go(func() error { return s.node.Run(ctx) })
 	g.Go(func() error { s.join(ctx); return nil })
 	g.Go(func() error { s.maintain(ctx); return nil })
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -16,6 +16,8 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/plantainbank/plantainbank/internal/connection/bodies"
+	"github.com/plantainbank/plantainbank/internal/connection/bodylimit"
 	"github.com/plantainbank/plantainbank/pkg/connection/announce"
 	"github.com/plantainbank/plantainbank/pkg/connection/backendserver"
 	"github.com/plantainbank/plantainbank/pkg/connection/caller"
@@ -53,6 +55,7 @@
 	callers    *caller.Handler
 	operators  *operator.Handler
 	backends   *announce.Handler
+	bodies     *bodylimit.Limiter
 	leaving    atomic.Bool
 }
 
@@ -63,6 +66,8 @@
 		return nil, err
 	}
 	s := &Server{cfg: cfg, log: log, scope: m.Scope, client: attempt.NewClient()}
+	s.bodies = bodylimit.New(bodylimit.Config{Account: bodies.New(int64(cfg.Limits.FlightBytes)), MaxBody: cfg.Limits.MaxBodyBytes,
+		Stall: time.Duration(cfg.Limits.ReadTimeout), Total: time.Duration(cfg.Limits.ReadTimeout), Log: log, Scope: m.Scope})
 	leaderClient := leader.New(cfg.ControlAddrs, client, scheme)
 	s.table = backendserver.New(backendserver.Policy{Choice: cfg.Policy.Choice, Affinity: cfg.Policy.Affinity,
 		IgnoreShares: cfg.Policy.IgnoreShares, FixedLimit: cfg.Policy.FixedLimit}, backendserver.Seed())
@@ -197,7 +202,7 @@
 			}
 			return nil, err
 		}
-		var lis net.Listener = tcp
+		lis := s.bodies.Listener(tcp)
 		if x.tls != nil {
 			lis = tls.NewListener(lis, x.tls)
 		}
@@ -208,7 +213,7 @@
 
 func (s *Server) newServer(h fasthttp.RequestHandler) *fasthttp.Server {
 	l := s.cfg.Limits
-	return &fasthttp.Server{
+	return s.bodies.Server(&fasthttp.Server{
 		Handler:               s.closeWhenLeaving(h),
 		Name:                  "plantainbank",
 		MaxRequestBodySize:    l.MaxBodyBytes,
@@ -220,7 +225,7 @@
 		NoDefaultContentType:  true,
 		NoDefaultServerHeader: true,
 		Logger:                &connectionErrors{s.scope.Counter("connection_errors")},
-	}
+	})
 }
 
 // closeWhenLeaving closes keep-alive connections after their next response once the
--- a/pkg/process/settings/settings.go
+++ b/pkg/process/settings/settings.go
@@ -105,6 +105,11 @@
 	// Headroom is the capacity ordered beyond the demand, as a fraction of the
 	// demand.
 	Headroom float64 `json:"headroom,omitempty"`
+	// MaxBodyBytes is the maximum size of the body of a call. A snapshot of the state is one call, so the
+	// default is the largest that the log can store.
+	MaxBodyBytes int `json:"body,omitempty"`
+	// FlightBytes is the size of the bodies and answers of all calls together that the process holds.
+	FlightBytes int `json:"flight,omitempty"`
 	// SnapshotEntries is the number of log entries between two snapshots.
 	SnapshotEntries uint64 `json:"snapshot,omitempty"`
 	TLS             TLS    `json:"tls"`
@@ -116,6 +121,9 @@
 type Limits struct {
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int `json:"body,omitempty"`
+	// FlightBytes is the size of all request bodies, and of the answers that callers have not read,
+	// that the process holds.
+	FlightBytes int `json:"flight,omitempty"`
 	// MaxHeaderBytes is the maximum size of a request header.
 	MaxHeaderBytes int `json:"header,omitempty"`
 	// MaxResponseBytes is the maximum size of a response of a backend server that is a
@@ -192,7 +200,7 @@
 func DefaultControl() Control {
 	return Control{
 		LeaseDuration: Duration(3 * time.Second), UsageWindow: Duration(time.Minute), ClaimTimeout: Duration(30 * time.Second),
-		SwapTimeout: Duration(10 * time.Second), MaxSwapFraction: 0.34, HedgeFraction: 0.1, Headroom: 0.25, SnapshotEntries: 2000, Logs: Logs{Level: "info"},
+		SwapTimeout: Duration(10 * time.Second), MaxSwapFraction: 0.34, HedgeFraction: 0.1, Headroom: 0.25, MaxBodyBytes: 256 << 20, FlightBytes: 64 << 20, SnapshotEntries: 2000, Logs: Logs{Level: "info"},
 	}
 }
 
@@ -200,7 +208,7 @@
 func DefaultEntry() Entry {
 	return Entry{
 		RenewInterval: Duration(400 * time.Millisecond), Workers: 64,
-		Limits: Limits{MaxBodyBytes: 4 << 20, MaxHeaderBytes: 16 << 10, MaxResponseBytes: 64 << 20, MaxConnections: 10_000, MaxWaiting: 256,
+		Limits: Limits{MaxBodyBytes: 4 << 20, FlightBytes: 64 << 20, MaxHeaderBytes: 16 << 10, MaxResponseBytes: 64 << 20, MaxConnections: 10_000, MaxWaiting: 256,
 			IdleTimeout: Duration(time.Minute), ReadTimeout: Duration(10 * time.Second), WriteTimeout: Duration(10 * time.Second),
 			DrainTimeout: Duration(30 * time.Second)},
 		Policy: Policy{Choice: "wait", RetryRatio: 0.1, Affinity: 2},
@@ -253,6 +261,8 @@
 		strictjson.Require("wave", c.MaxSwapFraction > 0 && c.MaxSwapFraction <= 1, "must be above 0 and at most 1"),
 		strictjson.Require("hedge", c.HedgeFraction >= 0 && c.HedgeFraction <= 1, "must be 0 to 1"),
 		strictjson.Require("headroom", c.Headroom >= 0 && c.Headroom <= 10, "must be 0 to 10"),
+		strictjson.Require("body", c.MaxBodyBytes >= 1<<20, "must be 1048576 or more bytes"),
+		strictjson.Require("flight", c.FlightBytes >= 1<<20, "must be 1048576 or more bytes"),
 		strictjson.Require("snapshot", c.SnapshotEntries > 0, "must be 1 or more"),
 		c.TLS.check("tls", true),
 		c.Logs.check(),
@@ -283,6 +293,7 @@
 func (l Limits) check() error {
 	return strictjson.First(
 		strictjson.Require("limits.body", l.MaxBodyBytes > 0, "must be 1 or more bytes"),
+		strictjson.Require("limits.flight", l.FlightBytes >= l.MaxBodyBytes, "must be at least \"limits.body\""),
 		strictjson.Require("limits.header", l.MaxHeaderBytes >= 1024, "must be 1024 or more bytes"),
 		strictjson.Require("limits.answer", l.MaxResponseBytes > 0, "must be 1 or more bytes"),
 		strictjson.Require("limits.connections", l.MaxConnections > 0, "must be 1 or more"),
