--- a/internal/connection/bodylimit/bodylimit.go
+++ b/internal/connection/bodylimit/bodylimit.go
@@ -65,11 +65,19 @@
 	skipped int
 }
 
-// New returns a Limiter.
+// New returns a Limiter. Its methods Listener, Server and HTTPServer apply it to servers.
 func New(cfg Config) *Limiter {
 	return &Limiter{cfg: cfg, conns: map[*Conn]bool{}, logs: map[string]*logState{}}
 }
 
+// Sibling returns a Limiter with the same account and a limit of its own on connections. So the clients of one server
+// cannot take the connections of another.
+func (l *Limiter) Sibling(maxConns int) *Limiter {
+	cfg := l.cfg
+	cfg.MaxConns = maxConns
+	return New(cfg)
+}
+
 // MaxConns returns the number of connections that fit into the given bytes.
 func MaxConns(memory int64) int { return max(16, int(memory/connBytes)) }
 
