--- a/internal/connection/bodylimit/bodylimit.go
+++ b/internal/connection/bodylimit/bodylimit.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
 
 	"github.com/plantainbank/plantainbank/internal/connection/bodies"
 )
@@ -40,14 +41,15 @@
 	Account *bodies.Account
 	// MaxBody is the maximum size of a request body at the servers that callers use.
 	MaxBody int
-	// Stall ends a body of which nothing arrives, and an answer of which nothing is read, for this long.
-	Stall time.Duration
-	// Total bounds the time in which a body arrives.
-	Total time.Duration
+	// Stall ends a body of which nothing arrives, and an answer of which nothing is read, for this long. Total
+	// bounds the time in which a body arrives. Zero stands for no limit.
+	Stall, Total time.Duration
 	// MaxConns is the maximum number of connections; 0 is unlimited.
 	MaxConns int
-	Log      *logrus.Entry
-	Scope    tally.Scope
+	// Refuse writes the answer to a request that callers sent and that has not run. The default is plain text.
+	Refuse func(rc *fasthttp.RequestCtx, status int, detail string)
+	Log    *logrus.Entry
+	Scope  tally.Scope
 }
 
 // Limiter applies the limits to the servers of a process.
@@ -67,6 +69,9 @@
 
 // New returns a Limiter. Its methods Listener, Server and HTTPServer apply it to servers.
 func New(cfg Config) *Limiter {
+	if cfg.Refuse == nil {
+		cfg.Refuse = refuseText
+	}
 	return &Limiter{cfg: cfg, conns: map[*Conn]bool{}, logs: map[string]*logState{}}
 }
 
@@ -81,6 +86,18 @@
 // MaxConns returns the number of connections that fit into the given bytes.
 func MaxConns(memory int64) int { return max(16, int(memory/connBytes)) }
 
+// deadline returns when a read or write fails that begins now, for a transfer that began at start. It is the zero time if
+// there is no limit.
+func (l *Limiter) deadline(now, start time.Time) (d time.Time) {
+	if l.cfg.Stall > 0 {
+		d = now.Add(l.cfg.Stall)
+	}
+	if end := start.Add(l.cfg.Total); l.cfg.Total > 0 && !start.IsZero() && (d.IsZero() || end.Before(d)) {
+		d = end
+	}
+	return d
+}
+
 // count counts an event and logs it, at most once in logInterval for each message and reason.
 func (l *Limiter) count(counter, message, reason string, fields logrus.Fields) {
 	l.cfg.Scope.Tagged(map[string]string{"reason": reason}).Counter(counter).Inc(1)
--- a/internal/connection/bodylimit/conn.go
+++ b/internal/connection/bodylimit/conn.go
@@ -165,7 +165,7 @@
 		return c.Conn.Write(p)
 	}
 	for piece := range slices.Chunk(p, writePiece) {
-		if err := c.SetWriteDeadline(time.Now().Add(c.l.cfg.Stall)); err != nil {
+		if err := c.SetWriteDeadline(c.l.deadline(time.Now(), time.Time{})); err != nil {
 			return n, err
 		}
 		m, err := c.Conn.Write(piece)
--- a/internal/connection/bodylimit/fasthttp.go
+++ b/internal/connection/bodylimit/fasthttp.go
@@ -94,9 +94,13 @@
 	if r.status == fasthttp.StatusServiceUnavailable {
 		rc.Response.Header.Set("Retry-After", retryAfter())
 	}
-	rc.SetStatusCode(r.status)
+	c.l.cfg.Refuse(rc, r.status, r.detail)
+}
+
+func refuseText(rc *fasthttp.RequestCtx, status int, detail string) {
+	rc.SetStatusCode(status)
 	rc.SetContentType("text/plain; charset=utf-8")
-	rc.SetBodyString(r.detail + "\n")
+	rc.SetBodyString(detail + "\n")
 }
 
 // receive reads the body of a request.
@@ -201,11 +205,7 @@
 func (r *receiver) read(in io.Reader, p []byte) (int, error) {
 	now := time.Now()
 	if now.Sub(r.last) > progressInterval {
-		deadline := now.Add(r.l.cfg.Stall)
-		if end := r.start.Add(r.l.cfg.Total); end.Before(deadline) {
-			deadline = end
-		}
-		if err := r.c.SetReadDeadline(deadline); err != nil {
+		if err := r.c.SetReadDeadline(r.l.deadline(now, r.start)); err != nil {
 			return 0, err
 		}
 		r.l.cfg.Account.Moved(r.t.Transfer, r.moved, now)
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/plantainbank/plantainbank/pkg/connection/backendserver"
 	"github.com/plantainbank/plantainbank/pkg/connection/caller"
 	"github.com/plantainbank/plantainbank/pkg/connection/operator"
+	"github.com/plantainbank/plantainbank/pkg/connection/response"
 	"github.com/plantainbank/plantainbank/pkg/connection/socket"
 	"github.com/plantainbank/plantainbank/pkg/process/grant"
 	"github.com/plantainbank/plantainbank/pkg/process/leader"
@@ -67,7 +68,7 @@
 	}
 	s := &Server{cfg: cfg, log: log, scope: m.Scope, client: attempt.NewClient()}
 	s.bodies = bodylimit.New(bodylimit.Config{Account: bodies.New(int64(cfg.Limits.FlightBytes)), MaxBody: cfg.Limits.MaxBodyBytes,
-		Stall: time.Duration(cfg.Limits.ReadTimeout), Total: time.Duration(cfg.Limits.ReadTimeout), Log: log, Scope: m.Scope})
+		Stall: time.Duration(cfg.Limits.ReadTimeout), Total: time.Duration(cfg.Limits.ReadTimeout), Refuse: refuseBody, Log: log, Scope: m.Scope})
 	leaderClient := leader.New(cfg.ControlAddrs, client, scheme)
 	s.table = backendserver.New(backendserver.Policy{Choice: cfg.Policy.Choice, Affinity: cfg.Policy.Affinity,
 		IgnoreShares: cfg.Policy.IgnoreShares, FixedLimit: cfg.Policy.FixedLimit}, backendserver.Seed())
@@ -228,6 +229,15 @@
 	})
 }
 
+// refuseBody answers a request whose body was not read to its end.
+func refuseBody(ctx *fasthttp.RequestCtx, status int, detail string) {
+	e := &response.Error{Status: status, Code: response.CodeInvalid, Message: detail, Ran: attempt.RanNo}
+	if status == fasthttp.StatusServiceUnavailable {
+		e.Code, e.RetryAfter = response.CodeOverloaded, time.Second
+	}
+	response.WriteError(ctx, e)
+}
+
 // closeWhenLeaving closes keep-alive connections after their next response once the
 // host is shutting down, so that few callers send a request on a connection that is
 // being closed.
