--- a/internal/process/store/batches.go
+++ b/internal/process/store/batches.go
@@ -32,9 +32,12 @@
 	if b.ID == "" || b.ID != q.Id {
 		return nil, twirp.InvalidArgumentError("id", "does not match the batch")
 	}
+	size := len(q.Batch)
+	q.Batch = nil // a large batch must not be held encoded and decoded
 	known, unknown := false, false
-	s.driver.submissions.begin(b.ID)
-	defer func() { s.driver.submissions.end(b.ID, unknown) }()
+	id := b.ID
+	s.driver.submissions.begin(id)
+	defer func() { s.driver.submissions.end(id, unknown) }()
 	err = s.onLeader(ctx, func() {
 		if known = s.batches.Get(b.ID) != nil; !known {
 			s.batches.ReuseResults(b)
@@ -42,16 +45,19 @@
 	})
 	if err == nil && !known {
 		term, _, _ := s.replica.Node().HoldsLease()
-		if r := s.driver.admit(b, len(q.Batch), term, time.Now()); r != nil && s.leadsIn(term) {
+		if r := s.driver.admit(b, size, term, time.Now()); r != nil && s.leadsIn(term) {
 			return nil, r.toTwirpError()
 		}
-		s.driver.submissions.propose(b.ID, len(q.Batch), term)
-		b.Submitted = time.Now().UnixMilli()
-		err = s.proposeWithin(ctx, &batch.Command{Accept: b})
-		unknown = mayBeProposed(err)
+		s.driver.submissions.propose(b.ID, size, term)
 	}
+	// b is not used after its proposal, so that it does not stay in memory beside the batch that is applied.
 	entry := s.log.WithFields(logrus.Fields{"batch": b.ID, "items": len(b.Items), "step": b.Step, "route": b.Route,
 		"min_version": b.MinVersion, "known": known, "carried": len(b.Results)})
+	if err == nil && !known {
+		b.Submitted = time.Now().UnixMilli()
+		err = s.submitOnce(ctx, b)
+		unknown = mayBeProposed(err)
+	}
 	if err != nil {
 		entry.WithError(err).Warn("batch not accepted")
 		return nil, toTwirpError(err)
@@ -75,6 +81,22 @@
 	return err != nil && !errors.As(err, &notLeader) && !errors.As(err, &invalid)
 }
 
+// submitOnce proposes a batch, or waits for the outcome of the proposal of the same batch that is under way. The
+// proposal goes on when its caller has left, since the caller repeats the call.
+func (s *Server) submitOnce(ctx context.Context, b *batch.Batch) error {
+	outcome := s.submits.DoChan(b.ID, func() (any, error) {
+		c := &batch.Command{Accept: b}
+		b = nil // otherwise the batch stays in memory until the proposal is decided
+		return nil, s.proposeWithin(context.WithoutCancel(ctx), c)
+	})
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case x := <-outcome:
+		return x.Err
+	}
+}
+
 func (s *Server) proposeWithin(ctx context.Context, c *batch.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -16,10 +16,13 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/plantainbank/plantainbank/internal/connection/bodies"
+	"github.com/plantainbank/plantainbank/internal/connection/bodylimit"
 	"github.com/plantainbank/plantainbank/pkg/connection/announce"
 	"github.com/plantainbank/plantainbank/pkg/connection/backendserver"
 	"github.com/plantainbank/plantainbank/pkg/connection/caller"
 	"github.com/plantainbank/plantainbank/pkg/connection/operator"
+	"github.com/plantainbank/plantainbank/pkg/connection/response"
 	"github.com/plantainbank/plantainbank/pkg/connection/socket"
 	"github.com/plantainbank/plantainbank/pkg/process/grant"
 	"github.com/plantainbank/plantainbank/pkg/process/leader"
@@ -53,6 +56,7 @@
 	callers    *caller.Handler
 	operators  *operator.Handler
 	backends   *announce.Handler
+	bodies     *bodylimit.Limiter
 	leaving    atomic.Bool
 }
 
@@ -63,6 +67,8 @@
 		return nil, err
 	}
 	s := &Server{cfg: cfg, log: log, scope: m.Scope, client: attempt.NewClient()}
+	s.bodies = bodylimit.New(bodylimit.Config{Account: bodies.New(int64(cfg.Limits.FlightBytes)), MaxBody: cfg.Limits.MaxBodyBytes,
+		Stall: time.Duration(cfg.Limits.ReadTimeout), Total: time.Duration(cfg.Limits.ReadTimeout), Refuse: refuseBody, Log: log, Scope: m.Scope})
 	leaderClient := leader.New(cfg.ControlAddrs, client, scheme)
 	s.table = backendserver.New(backendserver.Policy{Choice: cfg.Policy.Choice, Affinity: cfg.Policy.Affinity,
 		IgnoreShares: cfg.Policy.IgnoreShares, FixedLimit: cfg.Policy.FixedLimit}, backendserver.Seed())
@@ -197,7 +203,7 @@
 			}
 			return nil, err
 		}
-		var lis net.Listener = tcp
+		lis := s.bodies.Listener(tcp)
 		if x.tls != nil {
 			lis = tls.NewListener(lis, x.tls)
 		}
@@ -208,7 +214,7 @@
 
 func (s *Server) newServer(h fasthttp.RequestHandler) *fasthttp.Server {
 	l := s.cfg.Limits
-	return &fasthttp.Server{
+	return s.bodies.Server(&fasthttp.Server{
 		Handler:               s.closeWhenLeaving(h),
 		Name:                  "plantainbank",
 		MaxRequestBodySize:    l.MaxBodyBytes,
@@ -220,7 +226,16 @@
 		NoDefaultContentType:  true,
 		NoDefaultServerHeader: true,
 		Logger:                &connectionErrors{s.scope.Counter("connection_errors")},
+	})
+}
+
+// refuseBody answers a request whose body was not read to its end.
+func refuseBody(ctx *fasthttp.RequestCtx, status int, detail string) {
+	e := &response.Error{Status: status, Code: response.CodeInvalid, Message: detail, Ran: attempt.RanNo}
+	if status == fasthttp.StatusServiceUnavailable {
+		e.Code, e.RetryAfter = response.CodeOverloaded, time.Second
 	}
+	response.WriteError(ctx, e)
 }
 
 // closeWhenLeaving closes keep-alive connections after their next response once the
