Collect the first encoding of a large batch before the second

In 2 of 5 runs of TestLargestSubmissionIsServed, and in two runs beside heavy load, a store host still took 158 to 163 MB: the buffer of the encoder's first pass was not collected yet when the second pass and the calls to both followers took theirs. For batches above 8 MB the collector now runs between the passes.

--- a/pkg/process/disk/disk.go
+++ b/pkg/process/disk/disk.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 
@@ -70,8 +71,10 @@
 	// streamedBytes is the size from which on a batch is not encoded in memory. A batch of a store host may
 	// have 30 MB.
 	streamedBytes = 1 << 20
-	maxFrameBytes = 256 << 20
-	segmentBytes  = 16 << 20
+	// collectedBytes is the size from which on the memory of the first encoding is collected before the second.
+	collectedBytes = 8 << 20
+	maxFrameBytes  = 256 << 20
+	segmentBytes   = 16 << 20
 )
 
 // Files contains the file operations, so that tests can inject faults into them.
@@ -268,6 +271,9 @@
 	if err != nil {
 		return int64(n), Error.Wrap(err)
 	}
+	if x.size > collectedBytes {
+		runtime.GC() // the encoder's buffer of the first pass would otherwise stay beside that of the second
+	}
 	y := &frameWriter{write: func(p []byte) (int, error) { return d.files.Write(f, p) }, hash: xxh3.New()}
 	err = gob.NewEncoder(y).Encode(b)
 	return int64(n + y.size), Error.Wrap(err)
