--- a/internal/connection/placement/speed.go
+++ b/internal/connection/placement/speed.go
@@ -59,6 +59,35 @@
 	return s.pace
 }
 
+// relativePace returns the pace of a server as a multiple of the median, within bounds; 1 if
+// it is not known.
+func (t *Table) relativePace(s *server, median time.Duration) float64 {
+	pace, least := t.paceOf(s), minRelativePace
+	if t.ByEventTime {
+		least = minRelativeEventTime
+	}
+	if pace == 0 || median == 0 {
+		return 1
+	}
+	return min(maxRelativePace, max(least, float64(pace)/float64(median)))
+}
+
+// median returns the median pace of the servers of a service, or zero if none
+// is known.
+func (t *Table) median(service string) time.Duration {
+	var all []time.Duration
+	for _, s := range t.servers {
+		if pace := t.paceOf(s); s.Service == service && pace > 0 {
+			all = append(all, pace)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
 // RecordEventTime adds the mean time between the events of a request that is in flight.
 func (t *Table) RecordEventTime(x Slot, sample time.Duration, now time.Time) {
 	t.mu.Lock()
@@ -81,8 +110,8 @@
 	return out
 }
 
-// SetEventTimes stores the event times that another process has measured. They are used for the servers
-// at which this process has not measured any.
+// SetEventTimes stores the event times of another process. They are used for the servers that this process
+// has no samples of.
 func (t *Table) SetEventTimes(known map[departure.Incarnation]time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/connection/placement/table.go
+++ b/internal/connection/placement/table.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -341,38 +340,9 @@
 	return cost
 }
 
-// relativePace returns the pace of a server as a multiple of the median, within bounds; 1 if
-// it is not known.
-func (t *Table) relativePace(s *server, median time.Duration) float64 {
-	pace, least := t.paceOf(s), minRelativePace
-	if t.ByEventTime {
-		least = minRelativeEventTime
-	}
-	if pace == 0 || median == 0 {
-		return 1
-	}
-	return min(maxRelativePace, max(least, float64(pace)/float64(median)))
-}
-
 // loadReportTTL is how long a load that a server has reported is used.
 const loadReportTTL = 300 * time.Millisecond
 
-// median returns the median pace of the servers of a service, or zero if none
-// is known.
-func (t *Table) median(service string) time.Duration {
-	var all []time.Duration
-	for _, s := range t.servers {
-		if pace := t.paceOf(s); s.Service == service && pace > 0 {
-			all = append(all, pace)
-		}
-	}
-	if len(all) == 0 {
-		return 0
-	}
-	slices.Sort(all)
-	return all[len(all)/2]
-}
-
 // RecordLoad stores the load that a server has reported in a response.
 func (t *Table) RecordLoad(id string, x Load, now time.Time) {
 	t.mu.Lock()
