--- a/internal/connection/admission/host.go
+++ b/internal/connection/admission/host.go
@@ -206,7 +206,7 @@
 }
 
 // Report returns what the control leader has to know: the services that are under pressure, and
-// those whose servers have refused calls as full. In calm times it is empty.
+// those whose servers have refused calls as full. In normal operation it is empty.
 func (h *Host) Report(now time.Time) []*fleet.PlainLoad {
 	if h == nil {
 		return nil
--- a/internal/connection/admission/replay_test.go
+++ b/internal/connection/admission/replay_test.go
@@ -73,7 +73,7 @@
 	returns   map[int64][]*simCall
 	counts    map[string]*count
 	// served, refused, asked and bytes count, in each second, calls served by servers, calls refused by
-	// hosts, attempts at servers, and bytes of reports and answers beyond those of calm times.
+	// hosts, attempts at servers, and bytes of reports and answers beyond those in normal operation.
 	served, refused, asked, bytes []int
 	// retries are the Retry-After times that hosts derived.
 	retries []time.Duration
@@ -284,7 +284,7 @@
 				t.Errorf("queue %d: %d calls refused before the flood and after it", queue, n)
 			}
 			if n := sum(s.bytes, 0, 10) + sum(s.bytes, 59, 60); n > 0 {
-				t.Errorf("queue %d: %d bytes in calm times", queue, n)
+				t.Errorf("queue %d: %d bytes in normal operation", queue, n)
 			}
 			together := map[time.Duration]int{}
 			for _, d := range s.retries {
--- a/internal/process/director/plain_test.go
+++ b/internal/process/director/plain_test.go
@@ -12,7 +12,7 @@
 	"github.com/plantainbank/plantainbank/service/fleet"
 )
 
-// TestCapacityIsDivided guards against shares that reach no host, that are sent in calm times or to hosts that call no
+// TestCapacityIsDivided guards against shares that reach no host, that are sent in normal operation or to hosts that call no
 // server, or that stay when the hosts report no pressure any more.
 func TestCapacityIsDivided(t *testing.T) {
 	l := startLeader(t)
@@ -61,6 +61,6 @@
 		t.Fatal(err)
 	}
 	if size := proto.Size(watch(settings.RoleEntry, 0, 2)); size != calm {
-		t.Errorf("answers of %d bytes in calm times, %d before", size, calm)
+		t.Errorf("answers of %d bytes in normal operation, %d before", size, calm)
 	}
 }
--- a/internal/process/gateway/plain_test.go
+++ b/internal/process/gateway/plain_test.go
@@ -14,7 +14,7 @@
 	"github.com/plantainbank/plantainbank/service/fleet"
 )
 
-// TestReportsPlainCalls guards against reports in calm times, and against reports or refusals of a host whose settings
+// TestReportsPlainCalls guards against reports in normal operation, and against reports or refusals of a host whose settings
 // do not ask for shares.
 func TestReportsPlainCalls(t *testing.T) {
 	log := logrus.New()
@@ -32,7 +32,7 @@
 		s.admission.RecordServed("plain", time.Millisecond, admission.Load{Busy: 1, Slots: 6}, now)
 		s.admission.RecordRefused("plain", admission.Load{Busy: 2, Slots: 6}, now) // not as full
 		if n := report(); n != 0 {
-			t.Errorf("share %v: %d services reported in calm times", share, n)
+			t.Errorf("share %v: %d services reported in normal operation", share, n)
 		}
 		s.admission.RecordRefused("plain", admission.Load{Busy: 6, Slots: 6}, now)
 		if n := report(); (n == 1) != share {
