--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -45,6 +45,8 @@
 	store       []*process
 	entry       []*process
 	rec         *record
+	// memory is the memory limit of the processes in MB, by role.
+	memory map[string]int
 }
 
 // addr returns an address of a process.
@@ -64,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, rec: rec, program: os.Getenv("PROGRAM")}
+	d := &deployment{dir: dir, rec: rec, program: os.Getenv("PROGRAM"), memory: map[string]int{"entry": 284, "control": 280, "store": 304}}
 	if d.program == "" {
 		d.program = "target/plantainbank"
 	}
@@ -116,9 +118,8 @@
 // settings returns the settings file of a process: deploy/site.json with the values of a small deployment.
 func (d *deployment) settings(p *process) []byte {
 	zone := strings.Split(p.name, "-")[1]
-	memory := map[string]int{"entry": 284, "control": 280, "store": 304}[p.role]
 	m := map[string]any{"role": p.role, "host": p.name, "zone": zone, "ip": p.ip, "ports": []int{portInternal, portInternal + 15},
-		"seeds": d.controlAddrs(), "bootstrap": p.bootstrap, "memory": memory, "tolerate": 1, "metrics": fmt.Sprintf("%s:%d", p.ip, portMetrics),
+		"seeds": d.controlAddrs(), "bootstrap": p.bootstrap, "memory": d.memory[p.role], "tolerate": 1, "metrics": fmt.Sprintf("%s:%d", p.ip, portMetrics),
 		"bounds":     map[string]any{"lease": 3000, "fenced": true, "grace": 8000, "window": 5000, "keep": 120000},
 		"platform":   map[string]any{"addr": fmt.Sprintf("%s:%d", d.ip(41), portPlatform), "rate": 50.0},
 		"scheduling": map[string]any{"speeds": true, "fair": true, "refuse": true, "prompts": 768},
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -12,7 +12,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -33,6 +35,8 @@
 // testCase plays a case on a deployment that is ready, and returns how the rule was broken, empty if it held.
 type testCase struct {
 	entries int
+	// memory replaces the memory limits of the processes, if it is set.
+	memory  map[string]int
 	config  map[string]any
 	servers func(d *deployment) error
 	play    func(d *deployment) (broken string, err error)
@@ -74,6 +78,10 @@
 		return "", err
 	}
 	defer d.stop()
+	go d.stopEarly()
+	if c.memory != nil {
+		d.memory = c.memory
+	}
 	if err := startPlatform(d); err != nil {
 		return "", err
 	}
@@ -93,6 +101,22 @@
 	return c.play(d)
 }
 
+// maxTime bounds a case.
+const maxTime = 115 * time.Second
+
+// stopEarly ends a case that takes too long, or that is told to end.
+func (d *deployment) stopEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(maxTime):
+	}
+	d.rec.add("the case was stopped")
+	d.stop()
+	os.Exit(2)
+}
+
 // startPlatform accepts all usage reports.
 func startPlatform(d *deployment) error {
 	lis, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", d.ip(41), portPlatform))
