--- a/review/standin2/main.go
+++ b/review/second/platform/main.go
@@ -1,4 +1,4 @@
-// Command standin2 plays one case of the second independent review: it starts a small deployment on loopback
+// Command platform, built as standin2, plays one case of the second independent review: it starts a small deployment on loopback
 // addresses, with stand-ins for callers, servers, the operator and the platform, and checks one rule.
 //
 //	standin2 CASE RECORD
