--- a/review/second/platform/server.go
+++ b/review/second/platform/server.go
@@ -31,30 +31,22 @@
 	step   func(seq uint64) uint64
 	orders atomic.Uint64
 	acked  atomic.Int64
-	http   *http.Server
-	ended  chan struct{}
 }
 
 // startServer starts a server of a service at an address of its own.
 func (d *deployment) startServer(n int, service string, handle func(*server, http.ResponseWriter, *http.Request, []byte), models map[string]uint64) (*server, error) {
 	s := &server{d: d, id: fmt.Sprintf("i-%02d%s", n, service), service: service, addr: fmt.Sprintf("%s:%d", d.ip(50+n), portServer),
 		zone: []string{"lahore", "multan", "faisalabad"}[n%3], born: time.Now().UnixMilli(), handle: handle, models: models, state: "ready",
-		step: func(seq uint64) uint64 { return seq + 1 }, ended: make(chan struct{})}
+		step: func(seq uint64) uint64 { return seq + 1 }}
 	lis, err := net.Listen("tcp4", s.addr)
 	if err != nil {
 		return nil, err
 	}
-	s.http = &http.Server{Handler: http.HandlerFunc(s.serve)}
-	go func() { _ = s.http.Serve(lis) }()
+	go func() { _ = http.Serve(lis, http.HandlerFunc(s.serve)) }()
 	go s.announce()
 	return s, nil
 }
 
-func (s *server) stop() {
-	close(s.ended)
-	s.http.Close()
-}
-
 // setState changes the state that the server announces from its next announcement on.
 func (s *server) setState(state string) {
 	s.mu.Lock()
@@ -65,13 +57,8 @@
 
 func (s *server) announce() {
 	client := &http.Client{Timeout: time.Second}
-	for {
+	for ; ; time.Sleep(1200 * time.Millisecond) {
 		s.beat(client)
-		select {
-		case <-s.ended:
-			return
-		case <-time.After(1200 * time.Millisecond):
-		}
 	}
 }
 
