Let the leader call all control processes that have ever reported

What callers saw: the settings of the members of the control group name older seeds than those of the hosts, and all processes are killed. The group elects a leader whom no other process finds, for good: 503 to every caller, no accepted batch can be read.

Cause: a leader introduces itself to its own seeds only, and members know nothing from their disks but each other.

Change: the control processes that report are state of the group, in its log; a leader calls those that do not report. A call names the storage number that it is meant for, and a process with another one refuses it.

--- a/internal/process/catalog/catalog.go
+++ b/internal/process/catalog/catalog.go
@@ -39,6 +39,9 @@
 	// Software are the software versions that services had when Instances was stored, or lately
 	// before.
 	Software []roster.Software `json:"software,omitempty"`
+	// Controls are the control processes that have reported to a leader, those that reported last at the
+	// end. Members of the group find all of them after a restart, whatever their settings name.
+	Controls []ControlHost `json:"controls,omitempty"`
 	// differences are not saved: every process that applies the same commands has them.
 	differences differences
 }
@@ -65,6 +68,15 @@
 	Addr string `json:"addr"`
 }
 
+// ControlHost is a control process that has reported to a leader.
+type ControlHost struct {
+	Name string `json:"name"`
+	// Addr is the address for calls from other processes of the site.
+	Addr string `json:"addr"`
+	// Disk is the storage number of its data directory.
+	Disk uint64 `json:"disk"`
+}
+
 // Window is a closed usage window.
 type Window struct {
 	Counts   map[string]uint64 `json:"counts"`
@@ -91,6 +103,8 @@
 	// Instances is the roster to store for the next leader, Software what accompanies it.
 	Instances []roster.Instance `json:"instances,omitempty"`
 	Software  []roster.Software `json:"software,omitempty"`
+	// Controls replaces the stored control processes.
+	Controls []ControlHost `json:"controls,omitempty"`
 }
 
 // ConfigChange submits a configuration.
@@ -180,6 +194,8 @@
 		c.closeWindow(x.Close)
 	case x.Instances != nil:
 		c.Instances, c.Software = x.Instances, x.Software
+	case x.Controls != nil:
+		c.Controls = x.Controls
 	case x.ReportedWindow != 0:
 		if w := c.Windows[x.ReportedWindow]; w != nil {
 			w.Reported = true
--- a/internal/process/catalog/golden_test.go
+++ b/internal/process/catalog/golden_test.go
@@ -36,6 +36,7 @@
 		{Close: &WindowClose{Number: 41, Counts: map[string]uint64{"w": 6}}},
 		{Instances: []roster.Instance{server, displaced, other}, Software: []roster.Software{{Service: "proofer", Software: "v1", At: 900}}},
 		{Leadership: "control-2", LeadershipAt: 1500},
+		{Controls: []ControlHost{{Name: "control-1", Addr: "10.0.2.1:7640", Disk: 21}, {Name: "control-2", Addr: "10.0.2.2:7640", Disk: 22}}},
 	}
 }
 
--- a/internal/process/director/group_test.go
+++ b/internal/process/director/group_test.go
@@ -29,10 +29,27 @@
 	full    []atomic.Bool
 	stop    []func()
 	stopped []bool
+	// cut reports whether a process cannot reach the one at an address; nil if all reach each other.
+	cut atomic.Pointer[func(from int, to string) bool]
 }
 
 var groups atomic.Int64
 
+// partitionedTransport makes the calls of a process, except those to processes that it cannot reach.
+type partitionedTransport struct {
+	g    *testGroup
+	from int
+	*http.Transport
+}
+
+func (x *partitionedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if cut := x.g.cut.Load(); cut != nil && (*cut)(x.from, r.URL.Host) {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return x.Transport.RoundTrip(r)
+}
+
 // startGroup starts n control processes on loopback addresses. The first three are the seeds.
 func startGroup(t *testing.T, n int) *testGroup {
 	t.Helper()
@@ -78,7 +95,7 @@
 		return f.Write(p)
 	}
 	s, err := New(Config{Site: site, Log: log, Scope: tally.NoopScope, Files: files, Timing: quorum.FastFailoverTiming(),
-		Client: &http.Client{Transport: &http.Transport{}}, External: ExternalCalls{
+		Client: &http.Client{Transport: &partitionedTransport{g: g, from: i, Transport: &http.Transport{}}}, External: ExternalCalls{
 			ReportUsage: func(context.Context, FencingToken, uint64, map[string]uint64) error { return nil }}})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/process/director/leadership.go
+++ b/internal/process/director/leadership.go
@@ -69,6 +69,10 @@
 	savedRevision uint64
 	savedAt       time.Time
 	saving        bool
+	// savingControls is true while the control processes are written to the log, savedControlsAt is when
+	// that last began.
+	savingControls  bool
+	savedControlsAt time.Time
 	// rosterLoaded is true once the roster stored in the log has been loaded.
 	rosterLoaded bool
 	// storesReadyAt is when enough empty store hosts were live for the first time, or
--- a/internal/process/director/tasks.go
+++ b/internal/process/director/tasks.go
@@ -62,6 +62,7 @@
 	s.logLateChanges(l, now)
 	s.chooseStoreVoters(l, now)
 	s.saveRoster(ctx, l, now)
+	s.saveControls(ctx, l, now)
 	if !s.mayAct(ctx, l, now) {
 		return
 	}
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -33,8 +33,6 @@
 	// the actual one is unknown: that of the largest site, so that cold servers get
 	// almost no requests.
 	provisionalEntryHosts = 390
-	// introductionInterval is how often a leader calls the seeds that have not reported to it.
-	introductionInterval = 500 * time.Millisecond
 )
 
 // Watch records a report and returns what the host is missing. It waits for an update at
@@ -43,6 +41,10 @@
 	if q.Host == nil || q.Host.Name == "" || q.Incarnation == 0 {
 		return nil, twirp.InvalidArgumentError("host", "and incarnation are required")
 	}
+	if q.To != 0 && q.To != s.replica.Disk() {
+		s.cfg.Scope.Counter("calls_for_another_process").Inc(1)
+		return nil, twirp.NotFoundError("the process that the call is for does not have this address")
+	}
 	timer := time.NewTimer(time.Duration(q.Waitms) * time.Millisecond)
 	defer timer.Stop()
 	recorded, relinked, lead := false, false, ""
@@ -64,7 +66,7 @@
 		var notLeader *NotLeaderError
 		if errors.As(err, &notLeader) {
 			if q.Role == settings.RoleControl && q.Host.Addr != "" {
-				s.feed.Learn(q.Host.Addr, time.Now())
+				s.feed.Learn(q.Host, time.Now())
 			}
 			if n := s.provisionalUpdate(ctx, q); n != nil {
 				return n, nil
@@ -185,7 +187,7 @@
 
 // followLeader copies the roster from the leader while another process leads, so that the
 // next leader starts with it, and reports this process to the leader. While this process leads, it
-// introduces itself to the seeds.
+// introduces itself to the other control processes.
 func (s *Server) followLeader(ctx context.Context) {
 	var introduced time.Time
 	for ctx.Err() == nil {
@@ -204,28 +206,6 @@
 	}
 }
 
-// introduce calls the seeds that have not reported to this leader. Seeds that are no members of the control
-// group may know none of them, and the hosts ask only the seeds for the leader.
-func (s *Server) introduce(ctx context.Context, now time.Time) {
-	live := map[string]bool{s.cfg.Site.InternalAddr(): true}
-	s.eachHost(settings.RoleControl, func(h *host) {
-		if now.Sub(h.lastReport) < hostTimeout {
-			live[h.Addr] = true
-		}
-	})
-	for _, addr := range s.feed.Seeds() {
-		if live[addr] {
-			continue
-		}
-		go func() {
-			var e twirp.Error
-			if err := s.feed.Introduce(ctx, addr); err != nil && !(errors.As(err, &e) && e.Code() == twirp.FailedPrecondition) {
-				s.log.WithError(err).WithField("control", addr).Debug("could not introduce this leader to a seed")
-			}
-		}()
-	}
-}
-
 // bootstrap creates the control group at the first start of the whole system: the process
 // at the first seed does so once all seeds have answered that their disks are empty.
 func (s *Server) bootstrap(ctx context.Context) {
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -120,8 +120,8 @@
 	// seeds are the control processes named in the settings, controls those that the
 	// leader names.
 	seeds, controls []string
-	// introduced holds when control processes have last called this one.
-	introduced map[string]time.Time
+	// introduced holds the control processes that have called this one, by address.
+	introduced map[string]introduction
 	// leader is the process to call; confirmed is true once it has answered as the
 	// leader.
 	leader    string
@@ -144,7 +144,7 @@
 
 // New returns a feed with an empty state.
 func New(cfg Config, seeds []string) *Feed {
-	f := &Feed{cfg: cfg, seeds: seeds, retryDelay: retryMin, failedAt: map[string]time.Time{}, introduced: map[string]time.Time{}}
+	f := &Feed{cfg: cfg, seeds: seeds, retryDelay: retryMin, failedAt: map[string]time.Time{}, introduced: map[string]introduction{}}
 	f.state.Store(&State{})
 	return f
 }
@@ -262,7 +262,7 @@
 	s := f.State()
 	q := &fleet.Report{Role: f.cfg.Role, Incarnation: f.cfg.Incarnation, Term: s.Term, Catalog: s.Catalog, Roster: s.Roster,
 		Quarantine: s.Quarantine, Limits: s.Limits, Waitms: uint32(wait / time.Millisecond), Host: &fleet.Host{Name: f.cfg.Host},
-		Differences: true}
+		Differences: true, To: f.expectedDisk(addr)}
 	if f.fullCopy {
 		q.Catalog = 0
 	}
