Send the state on a disk only if a majority has the same log

What callers saw: a control process was down or cut off while a key was withdrawn, or had lost its vote. All processes are killed and started, hosts find this one first, and the withdrawn key works for up to 3 s.

Cause: a process that knows no leader sends what its disk has to hosts without a state, whatever it has missed; every member's commit index may be 0.5 s behind. A provisional update also replaced the term and the store hosts of a host that had a state.

Change: until they know a leader, voters ask each other where their logs end. The state is sent while a majority has the same last entry and no later term, which shows that the log has all committed entries and no others (docs/design/quorum.md). It changes nothing in the protocol's own state.

--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -105,6 +105,10 @@
 	quarantine *quarantine.Table
 	// copies holds encoded full copies of the catalog and the roster.
 	copies copyCache
+	// settled holds the catalog at settledIndex, with entries of the log that were not applied when it was
+	// needed. It belongs to the control goroutine.
+	settled      *catalog.Catalog
+	settledIndex uint64
 	// started is the start time of the process.
 	started time.Time
 	// leaderless is since when the replica knows no leader, in Unix nanoseconds.
--- a/internal/process/director/group_test.go
+++ b/internal/process/director/group_test.go
@@ -31,6 +31,8 @@
 	stopped []bool
 	// cut reports whether a process cannot reach the one at an address; nil if all reach each other.
 	cut atomic.Pointer[func(from int, to string) bool]
+	// timing is that of the processes that are started next.
+	timing quorum.Timing
 }
 
 var groups atomic.Int64
@@ -53,7 +55,8 @@
 // startGroup starts n control processes on loopback addresses. The first three are the seeds.
 func startGroup(t *testing.T, n int) *testGroup {
 	t.Helper()
-	g := &testGroup{servers: make([]*Server, n), full: make([]atomic.Bool, n), stop: make([]func(), n), stopped: make([]bool, n)}
+	g := &testGroup{servers: make([]*Server, n), full: make([]atomic.Bool, n), stop: make([]func(), n), stopped: make([]bool, n),
+		timing: quorum.FastFailoverTiming()}
 	prefix := fmt.Sprintf("127.%d.%d", 60+os.Getpid()%40, groups.Add(1))
 	var lns []net.Listener
 	port := 0
@@ -94,7 +97,7 @@
 		}
 		return f.Write(p)
 	}
-	s, err := New(Config{Site: site, Log: log, Scope: tally.NoopScope, Files: files, Timing: quorum.FastFailoverTiming(),
+	s, err := New(Config{Site: site, Log: log, Scope: tally.NoopScope, Files: files, Timing: g.timing,
 		Client: &http.Client{Transport: &partitionedTransport{g: g, from: i, Transport: &http.Transport{}}}, External: ExternalCalls{
 			ReportUsage: func(context.Context, FencingToken, uint64, map[string]uint64) error { return nil }}})
 	if err != nil {
--- a/internal/process/director/seeds_test.go
+++ b/internal/process/director/seeds_test.go
@@ -218,7 +218,9 @@
 }
 
 func TestMergeControls(t *testing.T) {
-	host := func(name, addr string, disk uint64) catalog.ControlHost { return catalog.ControlHost{Name: name, Addr: addr, Disk: disk} }
+	host := func(name, addr string, disk uint64) catalog.ControlHost {
+		return catalog.ControlHost{Name: name, Addr: addr, Disk: disk}
+	}
 	a, b, c := host("a", "1:1", 1), host("b", "1:2", 2), host("c", "1:3", 3)
 	var many []catalog.ControlHost
 	for i := range uint64(maxControls) {
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -276,6 +276,9 @@
 	if err != nil {
 		return err
 	}
+	if n.Provisional && f.State().Catalog > 0 {
+		return errProvisional // what this host has is no older
+	}
 	if err := f.apply(n); err != nil || !n.Provisional {
 		return err
 	}
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -194,6 +194,15 @@
 		s := f.State()
 		return s.Table.Config.Version == 8 && s.Roster == 9 && s.StoreLeader == "store"
 	})
+	b.set(func(x *fakeControl) { // another one restarts, with an older state on its disk
+		x.update = newUpdate(7, 4)
+		x.update.Provisional, x.update.Roster, x.update.Lead, x.update.Term = true, 1, "", 0
+	})
+	before = b.callCount()
+	waitFor(t, "more calls", func() bool { return b.callCount() > before+2 })
+	if s := f.State(); s.Table.Config.Version != 8 || s.Catalog != 9 || s.Roster != 9 || s.Term != leader.Term {
+		t.Errorf("a provisional update replaced what a leader has sent: catalog %d, roster %d, term %d", s.Catalog, s.Roster, s.Term)
+	}
 }
 
 // TestControlsThatNameEachOther polls two control processes that both have lost the leader and
--- a/pkg/process/quorum/core.go
+++ b/pkg/process/quorum/core.go
@@ -120,6 +120,8 @@
 	unpersistedFrom uint64
 	// pendingSnapshot is a snapshot from the leader that Ready has not returned yet.
 	pendingSnapshot *Snapshot
+	// survey shows whether the log of a replica that has just started is complete.
+	survey survey
 	// out contains the messages that Ready has not returned yet.
 	out []Message
 }
@@ -137,8 +139,9 @@
 func NewCore(id NodeID, timing Timing, seed uint64, p Persisted, now time.Time) *Core {
 	c := &Core{
 		id: id, timing: timing, hard: p.Hard,
-		rng: rand.New(rand.NewPCG(seed, uint64(id))),
-		log: newLog(p.Snapshot, p.Entries),
+		rng:    rand.New(rand.NewPCG(seed, uint64(id))),
+		log:    newLog(p.Snapshot, p.Entries),
+		survey: survey{sentAt: map[uint64]time.Time{}, agreed: map[NodeID]uint64{}},
 	}
 	c.stable = c.log.lastIndex()
 	c.commit = max(p.Snapshot.Index, min(p.Hard.Commit, c.log.lastIndex()))
@@ -242,6 +245,7 @@
 		c.tickLeader(now)
 		return
 	}
+	c.tickSurvey(now)
 	if now.Before(c.electionDue) {
 		return
 	}
@@ -318,6 +322,14 @@
 
 // Step processes one received message.
 func (c *Core) Step(m Message, now time.Time) {
+	switch m.Kind {
+	case MsgSurvey:
+		c.stepSurvey(m)
+		return
+	case MsgSurveyReply:
+		c.stepSurveyReply(m)
+		return
+	}
 	if c.refusesVote(m, now) {
 		return
 	}
--- a/pkg/process/quorum/election.go
+++ b/pkg/process/quorum/election.go
@@ -84,6 +84,7 @@
 	c.votes = map[NodeID]bool{c.id: true}
 	term, kind := c.hard.Term+1, MsgPreVote
 	if role == Candidate {
+		c.survey.over = true
 		kind = MsgVote
 		c.setHard(HardState{Term: term, Vote: c.id})
 	}
--- a/pkg/process/quorum/message.go
+++ b/pkg/process/quorum/message.go
@@ -97,6 +97,9 @@
 	MsgAppend
 	MsgAppendReply
 	MsgSnapshot
+	// MsgSurvey asks a voter where its log ends. It has no term and changes nothing at its recipient.
+	MsgSurvey
+	MsgSurveyReply
 )
 
 // Message is sent from one replica to another. The transport may lose, delay, duplicate
@@ -106,14 +109,15 @@
 	From, To NodeID
 	Term     uint64
 	// LogIndex and LogTerm are the index and term of a log position: the one before
-	// Entries in MsgAppend, the last one of the candidate's log in MsgPreVote and MsgVote.
+	// Entries in MsgAppend, the last one of the candidate's log in MsgPreVote and MsgVote, the
+	// last one of the sender's log in MsgSurveyReply.
 	// MsgAppendReply has only LogIndex: the highest index that matches the leader's log or,
 	// if Reject is set, a hint at which index the leader should retry.
 	LogIndex, LogTerm uint64
 	Entries           []Entry
 	Commit            uint64
 	Reject            bool
-	// Round is the number of the leader's heartbeat round; replies return it.
+	// Round is the number of the leader's heartbeat round, or of a survey; replies return it.
 	Round    uint64
 	Snapshot *Snapshot
 }
--- a/pkg/process/quorum/node_calls.go
+++ b/pkg/process/quorum/node_calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 )
 
 // call is a function that waits for the node's goroutine. It runs, or is abandoned before that.
@@ -117,6 +118,16 @@
 	n.pending[index] = pendingProposal{term, done}
 }
 
+// Settled reports whether this replica, which knows no leader yet, has all committed entries on its disk, as of
+// two heartbeat intervals ago or later. rest holds those that are not applied. It must be called on the node's
+// goroutine.
+func (n *Node) Settled() (rest []Entry, ok bool) {
+	if n.wasSuspended() {
+		return nil, false
+	}
+	return n.core.Settled(time.Now())
+}
+
 // Bootstrap starts a new group with this replica. It must be called on the node's
 // goroutine, through Do, and only if the logs of all members are empty.
 func (n *Node) Bootstrap(members Members) error {
--- a/pkg/process/quorum/replicate.go
+++ b/pkg/process/quorum/replicate.go
@@ -131,6 +131,7 @@
 
 func (c *Core) followLeader(m Message, now time.Time) {
 	c.becomeFollower(m.Term, m.From, now)
+	c.survey.over = true
 	c.lastLeaderContact = now
 	c.resetElectionTimer(now)
 }
