--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -109,6 +109,8 @@
 	// needed. It belongs to the control goroutine.
 	settled      *catalog.Catalog
 	settledIndex uint64
+	// withheld is true once a host got no state since this disk may lack entries.
+	withheld atomic.Bool
 	// started is the start time of the process.
 	started time.Time
 	// leaderless is since when the replica knows no leader, in Unix nanoseconds.
--- a/internal/process/director/watch.go
+++ b/internal/process/director/watch.go
@@ -108,7 +108,13 @@
 		s.log.WithError(err).Warn("could not read the provisional state")
 		return nil
 	}
-	if c == nil || c.Public.Config == nil {
+	if c == nil {
+		if s.withheld.CompareAndSwap(false, true) {
+			s.log.WithField("to", q.Host.Name).Info("state on disk not sent: a leader is known, or no majority has confirmed it")
+		}
+		return nil
+	}
+	if c.Public.Config == nil {
 		return nil
 	}
 	n := &fleet.News{Catalog: c.Revision, Provisional: true, Entries: provisionalEntryHosts, Compressed: q.Differences,
