Tell hosts by the leader's clock until when servers are cold

Cause: the leader turned the time that a server stays cold into a time of day by its own clock, and hosts compared it with theirs.

Change: the leader measures by a steady clock and sends its value with each update; a host converts the time to its own monotonic clock on receipt.

--- a/internal/connection/placement/cold.go
+++ b/internal/connection/placement/cold.go
@@ -21,7 +21,11 @@
 	if service == nil || service.ColdRate <= 0 {
 		return false
 	}
-	reportedCold := now.Before(time.UnixMilli(s.ColdUntil).Add(coldMargin))
+	until := s.Cold
+	if until.IsZero() {
+		until = time.UnixMilli(s.ColdUntil) // a leader of an older version, or the state of a disk
+	}
+	reportedCold := now.Before(until.Add(coldMargin))
 	assumedCold := now.Sub(s.coldSince) < service.ColdStart+coldMargin
 	if !reportedCold && !assumedCold {
 		return false
--- a/internal/connection/placement/table.go
+++ b/internal/connection/placement/table.go
@@ -42,7 +42,7 @@
 	crossZoneCost, connectCost = 0.4, 1.0
 	// fastLoadCost is the part by which each running request makes another one slower.
 	fastLoadCost = 0.02
-	// coldMargin is added to a cold period, because the clocks of hosts differ.
+	// coldMargin is added to a cold period, because announcements are delayed and rounded.
 	coldMargin = 400 * time.Millisecond
 )
 
--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/plantainbank/plantainbank/internal/process/roster"
 	"github.com/plantainbank/plantainbank/internal/process/weights"
 	"github.com/plantainbank/plantainbank/internal/request/quarantine"
+	"github.com/plantainbank/plantainbank/pkg/process/clock"
 	"github.com/plantainbank/plantainbank/pkg/process/disk"
 	"github.com/plantainbank/plantainbank/pkg/process/quorum"
 	"github.com/plantainbank/plantainbank/pkg/process/replica"
@@ -281,11 +283,23 @@
 	if s.leadership == nil || s.leadership.term != st.Term {
 		s.leadership = newLeadership(st.Term, time.Now())
 		if s.feed != nil {
-			s.leadership.roster.Load(s.feed.State().Instances, time.Now())
+			s.leadership.roster.Load(byOwnClock(s.feed.State().Instances, time.Now(), clock.Steady()), time.Now())
 		}
 	}
 }
 
+// byOwnClock returns instances that say by this process's steady clock until when they are cold, in place of that of
+// the leader that has sent them. steady is the value of the clock at now.
+func byOwnClock(all []roster.Instance, now, steady time.Time) []roster.Instance {
+	out := slices.Clone(all)
+	for i := range out {
+		if x := &out[i]; !x.Cold.IsZero() {
+			x.ColdUntil, x.Cold = steady.Add(x.Cold.Sub(now)).UnixMilli(), time.Time{}
+		}
+	}
+	return out
+}
+
 // toTwirpError converts an error to a Twirp error.
 func toTwirpError(err error) error {
 	var notLeader *NotLeaderError
--- a/internal/process/director/update.go
+++ b/internal/process/director/update.go
@@ -9,6 +9,7 @@
 
 	"github.com/plantainbank/plantainbank/internal/process/catalog"
 	"github.com/plantainbank/plantainbank/internal/process/roster"
+	"github.com/plantainbank/plantainbank/pkg/process/clock"
 	"github.com/plantainbank/plantainbank/pkg/process/deflate"
 	"github.com/plantainbank/plantainbank/pkg/process/settings"
 	"github.com/plantainbank/plantainbank/service/fleet"
@@ -34,7 +35,7 @@
 	start := time.Now()
 	entries := l.entryRanks(now)
 	n := &fleet.News{Term: l.term, Catalog: s.catalog.Revision, Lead: storeLeaderAddr(l, now), Entries: uint32(len(entries)),
-		Rank: entries[q.Host.Name], Compressed: q.Differences}
+		Rank: entries[q.Host.Name], Compressed: q.Differences, Clock: clock.Steady().UnixMilli()}
 	if q.Role == settings.RoleEntry {
 		n.Relays = l.relaysFor(q.Host.Name, now)
 		n.Pressures = s.pressures(l, now)
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -412,6 +412,7 @@
 	for id, err := range invalid {
 		f.cfg.Log.WithError(err).WithField("instance", id).Warn("instance dropped")
 	}
+	setCold(instances, n.Clock, time.Now())
 	if n.Partial {
 		instances = roster.Merge(s.Instances, instances, n.Removed)
 	}
@@ -419,6 +420,16 @@
 	return nil
 }
 
+// setCold converts the times until which instances are cold from the leader's clock, which may differ from this
+// host's by seconds. clock is the leader's time in Unix milliseconds at now, zero if it is unknown.
+func setCold(all []roster.Instance, clock int64, now time.Time) {
+	for i := range all {
+		if x := &all[i]; clock != 0 && x.ColdUntil != 0 {
+			x.Cold = now.Add(time.Duration(x.ColdUntil-clock) * time.Millisecond)
+		}
+	}
+}
+
 // logChanges logs changes of the catalog, the roster and the store leader. cost is what the update
 // cost this host.
 func (f *Feed) logChanges(old, s *State, cost logrus.Fields) {
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -45,8 +45,11 @@
 	// Seq increases with every announcement of this incarnation.
 	Seq uint64 `json:"seq"`
 	// ColdUntil is the time in Unix milliseconds until which the instance is slow after
-	// its start, by the clock of the host that received the announcement.
+	// its start, by the steady clock of the leader that sends it.
 	ColdUntil int64 `json:"colduntil,omitempty"`
+	// Cold is the same time by the monotonic clock of the host that received the instance from the
+	// leader; zero if the leader has not said what its clock is.
+	Cold time.Time `json:"-"`
 	// Weights holds the loaded version of each model.
 	Weights map[string]uint64 `json:"weights,omitempty"`
 	// Software is the version of the server's software, empty if it was not announced. What two
