Plan the weights of many engines without holding up control

Cause: to assign models to engines the planner placed all work anew after each change and searched all followers for each part: the cube of the number of engines, on the goroutine that sends heartbeats. A plan for 275 engines took 7.0 s, the lease is 0.38 s; each new leader lost its lease over it.

Change: a heap and slices in place of searches in maps; from 128 engines on loads are computed 32 times for a model instead of after each change, and engines are relieved a part at a time.

--- a/internal/process/weights/assign.go
+++ b/internal/process/weights/assign.go
@@ -35,6 +35,13 @@
 	// shareParts is the number of parts in which the share of a model is placed to compute
 	// loads, fillRounds how often all shares are placed again.
 	shareParts, fillRounds = 12, 3
+	// manyEngines is the number of engines from which on loads are computed maxFills times, instead of after each
+	// change, while the followers of one model change. They bound the time that this takes on the control
+	// goroutine, beside heartbeats.
+	manyEngines, maxFills = 128, 32
+	// reliefWork is the number of engines, added up over all reliefs, that are looked at each time that models are
+	// assigned; the rest follows the next time. There are minReliefs in any case.
+	reliefWork, minReliefs = 6400, 4
 )
 
 // Bounds of the speed of an engine, and the ratio by which it must change before models are assigned again:
@@ -75,8 +82,10 @@
 	engines []roster.Instance
 	// models are the published models, those with the largest share first.
 	models []string
-	// speed is the speed of each engine by ID, in average engines: the speeds add up to the engines.
-	speed map[string]float64
+	// speed is the speed of each engine, in average engines: the speeds add up to the engines.
+	speed []float64
+	// index is the position of each engine, by ID.
+	index map[string]int
 	// share is the work of each model in engines: the shares add up to the engines.
 	share map[string]float64
 	// followers counts the engines that follow a model, inZone by availability zone. capacity is the sum of
@@ -98,8 +107,7 @@
 	p.removeStopped(engines)
 	p.updateSpeeds(d, engines)
 	for key, all := range groups {
-		if s := p.signature(d, all); p.signatures[key] != s {
-			p.newAssignment(d, all).update()
+		if s := p.signature(d, all); p.signatures[key] != s && p.newAssignment(d, all).update() {
 			p.signatures[key] = s
 		}
 	}
@@ -134,15 +142,15 @@
 }
 
 func (p *Planner) newAssignment(d Demand, engines []roster.Instance) *assignment {
-	a := &assignment{p: p, engines: engines, speed: map[string]float64{}, share: map[string]float64{}, followers: map[string]int{},
+	a := &assignment{p: p, engines: engines, speed: make([]float64, len(engines)), index: map[string]int{}, share: map[string]float64{}, followers: map[string]int{},
 		inZone: map[string]map[string]int{}, capacity: map[string]float64{}}
 	total := 0.0
-	for _, e := range engines {
-		a.speed[e.ID] = p.speedOf(e)
-		total += a.speed[e.ID]
+	for i, e := range engines {
+		a.index[e.ID], a.speed[i] = i, p.speedOf(e)
+		total += a.speed[i]
 	}
-	for id := range a.speed {
-		a.speed[id] *= float64(len(engines)) / total
+	for i := range a.speed {
+		a.speed[i] *= float64(len(engines)) / total
 	}
 	for m := range engines[0].Weights {
 		if d.Published[m] > 0 {
@@ -151,7 +159,8 @@
 	}
 	a.computeShares(d.Work)
 	slices.SortFunc(a.models, func(x, y string) int { return cmp.Or(cmp.Compare(a.share[y], a.share[x]), cmp.Compare(x, y)) })
-	for _, e := range engines {
+	for i := range engines {
+		e := &engines[i]
 		key := instanceKey{e.ID, e.Born}
 		p.assigned[key] = slices.DeleteFunc(p.assigned[key], func(m string) bool { return !slices.Contains(a.models, m) })
 		for _, m := range p.assigned[key] {
@@ -185,26 +194,73 @@
 	}
 }
 
-func (a *assignment) update() {
+// update changes which engines follow which models. It returns false if more engines are to be relieved.
+func (a *assignment) update() (done bool) {
+	reliefs := max(minReliefs, reliefWork/len(a.engines))
 	if len(a.models) == 0 {
-		return
+		return true
 	}
 	for _, m := range a.models {
-		for a.followers[m] > a.floor() && a.capacity[m]-a.share[m] > shareSurplus {
-			a.drop(a.mostLoaded(m), m)
-		}
+		a.dropSurplus(m)
 	}
 	for _, m := range a.models {
-		for a.followers[m] < len(a.engines) && (a.followers[m] < a.floor() || a.capacity[m] < a.share[m]-shareSlack) {
-			a.add(a.leastLoaded(m), m)
-		}
+		a.addMissing(m)
 	}
-	for _, e := range a.engines {
-		if len(a.modelsOf(e)) == 0 {
+	for i := range a.engines {
+		if e := &a.engines[i]; len(a.modelsOf(e)) == 0 {
 			a.add(e, a.neediest(e))
 		}
 	}
 	for total := a.total(); total < a.maxTotal() && a.relieve(); total++ {
+		if reliefs--; reliefs == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// refresh is the number of changes after which the loads are computed again: each one where engines are few.
+func (a *assignment) refresh() int {
+	if len(a.engines) < manyEngines {
+		return 1
+	}
+	return len(a.engines) / maxFills
+}
+
+// loadsOf returns the loads of engines that do not follow a model yet. While none of them follows any, they have none.
+func (a *assignment) loadsOf(engines []int) []float64 {
+	if slices.ContainsFunc(engines, func(i int) bool { return len(a.modelsOf(&a.engines[i])) > 0 }) {
+		load, _ := a.fill()
+		return load
+	}
+	return make([]float64, len(a.engines))
+}
+
+// dropSurplus lets engines stop following a model that has more followers than its share needs.
+func (a *assignment) dropSurplus(m string) {
+	var load []float64
+	followers := a.candidates(m, true)
+	for n := 0; a.followers[m] > a.floor() && a.capacity[m]-a.share[m] > shareSurplus; n++ {
+		if n%a.refresh() == 0 {
+			load, _ = a.fill()
+		}
+		i := slices.MaxFunc(followers, a.compare(m, load))
+		followers = slices.DeleteFunc(followers, func(x int) bool { return x == i })
+		a.drop(&a.engines[i], m)
+	}
+}
+
+// addMissing lets engines follow a model that has fewer followers than its share needs.
+func (a *assignment) addMissing(m string) {
+	var load []float64
+	others := a.candidates(m, false)
+	for n := 0; len(others) > 0 && (a.followers[m] < a.floor() || a.capacity[m] < a.share[m]-shareSlack); n++ {
+		if n%a.refresh() == 0 {
+			load = a.loadsOf(others)
+		}
+		i := slices.MinFunc(others, a.compare(m, load))
+		others = slices.DeleteFunc(others, func(x int) bool { return x == i })
+		a.add(&a.engines[i], m)
 	}
 }
 
@@ -224,15 +280,18 @@
 // whether it did.
 func (a *assignment) relieve() bool {
 	load, placed := a.fill()
-	busiest := slices.MaxFunc(a.engines, func(x, y roster.Instance) int {
-		return cmp.Or(cmp.Compare(load[x.ID], load[y.ID]), cmp.Compare(y.ID, x.ID))
-	})
-	if load[busiest.ID] < fullLoad {
+	busiest := 0
+	for i := range a.engines {
+		if cmp.Or(cmp.Compare(load[i], load[busiest]), cmp.Compare(a.engines[busiest].ID, a.engines[i].ID)) > 0 {
+			busiest = i
+		}
+	}
+	if load[busiest] < fullLoad {
 		return false
 	}
-	models := slices.Clone(a.modelsOf(busiest))
+	models := slices.Clone(a.modelsOf(&a.engines[busiest]))
 	slices.SortFunc(models, func(x, y string) int {
-		return cmp.Or(cmp.Compare(placed[y][busiest.ID], placed[x][busiest.ID]), cmp.Compare(x, y))
+		return cmp.Or(cmp.Compare(placed[y][busiest], placed[x][busiest]), cmp.Compare(x, y))
 	})
 	for _, m := range models {
 		if a.capacity[m]+1-a.share[m] > shareSurplus {
@@ -242,65 +301,95 @@
 		if len(others) == 0 {
 			continue
 		}
-		e := slices.MinFunc(others, func(x, y roster.Instance) int {
-			return cmp.Or(cmp.Compare(load[x.ID], load[y.ID]), cmp.Compare(x.ID, y.ID))
+		i := slices.MinFunc(others, func(x, y int) int {
+			return cmp.Or(cmp.Compare(load[x], load[y]), cmp.Compare(a.engines[x].ID, a.engines[y].ID))
 		})
-		if load[e.ID] < spareLoad {
-			a.add(e, m)
+		if load[i] < spareLoad {
+			a.add(&a.engines[i], m)
 			return true
 		}
 	}
 	return false
 }
 
-// fill returns the load of each engine, by ID, if the work of each model goes to those of its
-// followers that have the least to do, and the part of it that each model places there.
-func (a *assignment) fill() (load map[string]float64, placed map[string]map[string]float64) {
-	load, placed = map[string]float64{}, map[string]map[string]float64{}
+// fill returns the load of each engine if the work of each model goes to those of its followers that have the least
+// to do, and the part of it that each model places there. Both are indexed by engine.
+func (a *assignment) fill() (load []float64, placed map[string][]float64) {
+	load, placed = make([]float64, len(a.engines)), map[string][]float64{}
+	followers := map[string][]int{}
+	for _, m := range a.models {
+		placed[m], followers[m] = make([]float64, len(a.engines)), a.candidates(m, true)
+	}
 	for range fillRounds {
 		for _, m := range a.models {
-			for id, x := range placed[m] {
-				load[id] -= x
+			for _, i := range followers[m] {
+				load[i] -= placed[m][i]
+				placed[m][i] = 0
 			}
-			placed[m] = map[string]float64{}
-			followers := a.candidates(m, true)
-			parts := shareParts * len(followers)
+			parts := shareParts * len(followers[m])
+			order := followers[m]
+			slices.SortFunc(order, func(i, j int) int {
+				return cmp.Or(cmp.Compare(load[i], load[j]), cmp.Compare(a.engines[i].ID, a.engines[j].ID))
+			})
 			for range parts {
-				e := slices.MinFunc(followers, func(x, y roster.Instance) int {
-					return cmp.Or(cmp.Compare(load[x.ID], load[y.ID]), cmp.Compare(x.ID, y.ID))
-				})
-				part := a.share[m] / float64(parts) / a.speed[e.ID]
-				load[e.ID] += part
-				placed[m][e.ID] += part
+				i := order[0]
+				part := a.share[m] / float64(parts) / a.speed[i]
+				load[i] += part
+				placed[m][i] += part
+				a.sinkRoot(order, load)
 			}
 		}
 	}
 	return load, placed
 }
 
+// lessLoaded reports whether engine i has less to do than engine j.
+func (a *assignment) lessLoaded(load []float64, i, j int) bool {
+	return load[i] < load[j] || load[i] == load[j] && a.engines[i].ID < a.engines[j].ID
+}
+
+// sinkRoot restores the order of a heap of engines, the one with the least to do first, after the load of the first
+// one has grown. It stands for heap.Fix, which calls through an interface: this is most of the work of a plan.
+func (a *assignment) sinkRoot(order []int, load []float64) {
+	for parent := 0; ; {
+		child := 2*parent + 1
+		if child >= len(order) {
+			return
+		}
+		if right := child + 1; right < len(order) && a.lessLoaded(load, order[right], order[child]) {
+			child = right
+		}
+		if !a.lessLoaded(load, order[child], order[parent]) {
+			return
+		}
+		order[parent], order[child] = order[child], order[parent]
+		parent = child
+	}
+}
+
 // floor is the number of engines that follow a model in any case.
 func (a *assignment) floor() int { return min(minFollowers, len(a.engines)) }
 
-func (a *assignment) count(m string, e roster.Instance, n int) {
+func (a *assignment) count(m string, e *roster.Instance, n int) {
 	a.followers[m] += n
-	a.capacity[m] += float64(n) * a.speed[e.ID]
+	a.capacity[m] += float64(n) * a.speed[a.index[e.ID]]
 	if a.inZone[e.Zone] == nil {
 		a.inZone[e.Zone] = map[string]int{}
 	}
 	a.inZone[e.Zone][m] += n
 }
 
-func (a *assignment) modelsOf(e roster.Instance) []string {
+func (a *assignment) modelsOf(e *roster.Instance) []string {
 	return a.p.assigned[instanceKey{e.ID, e.Born}]
 }
 
-func (a *assignment) add(e roster.Instance, m string) {
+func (a *assignment) add(e *roster.Instance, m string) {
 	key := instanceKey{e.ID, e.Born}
 	a.p.assigned[key] = append(a.p.assigned[key], m)
 	a.count(m, e, 1)
 }
 
-func (a *assignment) drop(e roster.Instance, m string) {
+func (a *assignment) drop(e *roster.Instance, m string) {
 	key := instanceKey{e.ID, e.Born}
 	a.p.assigned[key] = slices.DeleteFunc(a.p.assigned[key], func(x string) bool { return x == m })
 	a.count(m, e, -1)
@@ -310,39 +399,30 @@
 // have about the same to do.
 func level(load float64) int { return int(math.Round(5 * load)) }
 
-// leastLoaded returns the engine that should follow a model next. Among engines with the same
-// load it is the one whose weights of the model are the newest, since that engine
+// compare orders engines by which of them should follow a model: the least one next, the greatest one no longer.
+// Among engines with the same load the one whose weights of the model are the newest comes first, since it
 // followed the model under an earlier leader.
-func (a *assignment) leastLoaded(m string) roster.Instance {
-	load, _ := a.fill()
-	return slices.MinFunc(a.candidates(m, false), func(x, y roster.Instance) int {
-		return cmp.Or(cmp.Compare(level(load[x.ID]), level(load[y.ID])), cmp.Compare(y.Weights[m], x.Weights[m]), cmp.Compare(a.inZone[x.Zone][m], a.inZone[y.Zone][m]),
-			cmp.Compare(x.ID, y.ID))
-	})
-}
-
-// mostLoaded returns the engine that should stop following a model.
-func (a *assignment) mostLoaded(m string) roster.Instance {
-	load, _ := a.fill()
-	return slices.MaxFunc(a.candidates(m, true), func(x, y roster.Instance) int {
-		return cmp.Or(cmp.Compare(level(load[x.ID]), level(load[y.ID])), cmp.Compare(y.Weights[m], x.Weights[m]), cmp.Compare(a.inZone[x.Zone][m], a.inZone[y.Zone][m]),
-			cmp.Compare(x.ID, y.ID))
-	})
+func (a *assignment) compare(m string, load []float64) func(i, j int) int {
+	return func(i, j int) int {
+		x, y := &a.engines[i], &a.engines[j]
+		return cmp.Or(cmp.Compare(level(load[i]), level(load[j])), cmp.Compare(y.Weights[m], x.Weights[m]),
+			cmp.Compare(a.inZone[x.Zone][m], a.inZone[y.Zone][m]), cmp.Compare(x.ID, y.ID))
+	}
 }
 
-// candidates returns the engines that follow a model, or those that do not.
-func (a *assignment) candidates(m string, following bool) []roster.Instance {
-	var out []roster.Instance
-	for _, e := range a.engines {
-		if slices.Contains(a.modelsOf(e), m) == following {
-			out = append(out, e)
+// candidates returns the engines that follow a model, or those that do not, by index.
+func (a *assignment) candidates(m string, following bool) []int {
+	var out []int
+	for i := range a.engines {
+		if slices.Contains(a.modelsOf(&a.engines[i]), m) == following {
+			out = append(out, i)
 		}
 	}
 	return out
 }
 
 // neediest returns the model that an engine without one should follow.
-func (a *assignment) neediest(e roster.Instance) string {
+func (a *assignment) neediest(e *roster.Instance) string {
 	return slices.MaxFunc(a.models, func(x, y string) int {
 		return cmp.Or(cmp.Compare(a.share[x]/a.capacity[x], a.share[y]/a.capacity[y]),
 			cmp.Compare(a.inZone[e.Zone][y], a.inZone[e.Zone][x]), cmp.Compare(y, x))
