Survey the logs of the control group only

Cause: the store group asked for the ends of logs too, which nothing needs there. The questions stood before votes in the queues between members, and a member with a longer log became a candidate while another was elected.

Change: surveys are off unless asked for, and only control processes ask.

--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -133,6 +133,7 @@
 		Restore: s.restore,
 		Freeze:  s.freeze,
 		Changed: s.roleChanged,
+		Survey:  true,
 		Hosts:   s.controlHosts,
 	})
 	if err != nil {
--- a/pkg/process/quorum/node.go
+++ b/pkg/process/quorum/node.go
@@ -52,6 +52,8 @@
 	// Suspended returns the total time for which the machine has been suspended; nil means
 	// never. It may be called on any goroutine.
 	Suspended func() time.Duration
+	// Survey makes the node ask the other voters after its start where their logs end, which Settled needs.
+	Survey bool
 	// SnapshotBytes is the size of the applied entries after which a snapshot is made; zero
 	// disables this limit.
 	SnapshotBytes int
@@ -152,6 +154,7 @@
 		snapshotResults: make(chan snapshotResult, 1),
 		snapshotIndex:   cfg.Persisted.Snapshot.Index,
 	}
+	n.core.survey.over = !cfg.Survey
 	n.cfg.Persisted = Persisted{} // the core owns the entries and releases them on compaction
 	n.suspendedTime.Store(int64(cfg.Suspended()))
 	n.publishStatus()
--- a/pkg/process/quorum/node_calls.go
+++ b/pkg/process/quorum/node_calls.go
@@ -119,8 +119,8 @@
 }
 
 // Settled reports whether this replica, which knows no leader yet, has all committed entries on its disk, as of
-// two heartbeat intervals ago or later. rest holds those that are not applied. It must be called on the node's
-// goroutine.
+// two heartbeat intervals ago or later. rest holds those that are not applied. It needs Config.Survey and must be
+// called on the node's goroutine.
 func (n *Node) Settled() (rest []Entry, ok bool) {
 	if n.wasSuspended() {
 		return nil, false
--- a/pkg/process/replica/replica.go
+++ b/pkg/process/replica/replica.go
@@ -57,6 +57,8 @@
 	// Changed is called on the node's goroutine when the role, the term or the leader
 	// changes.
 	Changed func(quorum.Status)
+	// Survey is that of quorum.Config.
+	Survey bool
 	// Hosts returns the hosts known to this process that can run a replica.
 	Hosts func() []Host
 }
@@ -113,6 +115,7 @@
 		SnapshotEvery: snapshotEvery,
 		SnapshotBytes: snapshotBytes,
 		Suspended:     clock.Suspended,
+		Survey:        cfg.Survey,
 		Changed:       r.changed,
 	})
 	if err != nil {
