Take a response with an invalid line in its header for no response

What callers saw: a server in trouble sends a header in which the name of a field has a blank, or an LF in front. The caller gets it as the server's response: with that line, or with a body that is not the server's. "Content Length: 9" and "Transfer Encoding: chunked" gave the bytes up to the close, chunk sizes included; "Content-Length : 1" one byte of four; an empty line without CR made the other fields the body. Such a header also completed items and counted as an answer to orders and usage reports.

Cause: fasthttp tolerates such lines, and nothing looked at the bytes before it. What it returns does not show them: blanks at the end of a name are gone, folded lines are joined.

Change: the client of backend servers checks each line of a header before fasthttp reads it, for final and informational responses: CRLF at its end, a token as the name. Anything else fails the attempt as a status that is none does; whether it ran is unknown. Folded lines are refused too, as RFC 9112, section 5.2, allows: one cannot be told from a name with a blank in front. golang.org/x/net, so far indirect, is used for the tokens.

Ruled out: other control bytes in names, and those in values, were refused before; status 000 as well (TestStatusThatIsNone). Fields after a chunked body are dropped, not passed on (TestTrailersStayBehind passed before).

--- a/internal/request/itemrun/run_test.go
+++ b/internal/request/itemrun/run_test.go
@@ -141,6 +141,10 @@
 		{"status 000", strings.Replace(chunked(3, false, one, two), "200", "000", 1), Interrupted, "", "[]"},
 		{"a refusal with status 000", "HTTP/1.1 000 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", Interrupted, "", "[]"},
 		{"a status beyond those of HTTP", strings.Replace(chunked(3, false, one, two), "200", "999", 1), Interrupted, "", "[]"},
+		{"a name with a blank", strings.Replace(chunked(3, false, one, two), "\r\n", "\r\nX A: b\r\n", 1), Interrupted, "", "[]"},
+		{"a name with a blank at its end", strings.Replace(chunked(3, false, one, two), "\r\n", "\r\nX-A : b\r\n", 1), Interrupted, "", "[]"},
+		{"a name with a control byte", strings.Replace(chunked(3, false, one, two), "\r\n", "\r\n\nX-A: b\r\n", 1), Interrupted, "", "[]"},
+		{"a refusal with a name with a blank", "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nX A: b\r\nContent-Length: 0\r\n\r\n", Interrupted, "", "[]"},
 		{"not HTTP", "garbage\r\n\r\nCLOSE", Interrupted, "", "[]"},
 		{"no response", "CLOSE", Interrupted, "", "[]"},
 	} {
--- a/pkg/request/attempt/body.go
+++ b/pkg/request/attempt/body.go
@@ -42,23 +42,6 @@
 	return fmt.Sprintf("bodies being received would exceed %d bytes", e.Limit)
 }
 
-// readHeader reads the header of the final response and skips informational ones.
-func readHeader(res *fasthttp.Response, br *bufio.Reader) error {
-	for range maxInformational + 1 {
-		status, err := peekStatus(br)
-		if err != nil {
-			return err
-		}
-		if err := res.Header.Read(br); err != nil {
-			return err
-		}
-		if status >= fasthttp.StatusOK {
-			return nil
-		}
-	}
-	return errNoProgress
-}
-
 // readBody reads the complete body, or sets it up as a stream.
 func (c *Client) readBody(res *fasthttp.Response, br *bufio.Reader, o Options) error {
 	length := res.Header.ContentLength()
--- a/pkg/request/attempt/status.go
+++ b/pkg/request/attempt/status.go
@@ -1,11 +1,11 @@
 package attempt
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 )
 
 // StatusError reports a response whose status is none that a final or an informational response may
@@ -19,26 +19,11 @@
 // maxStatusBytes bounds the status in an error.
 const maxStatusBytes = 32
 
-// peekStatus returns the status of the response that br reads next. fasthttp.ResponseHeader returns 200 for a
-// status of 000. The status is 0 if there is no whole status line; the error comes with reading the header.
-func peekStatus(br *bufio.Reader) (int, error) {
-	for n := 1; n <= br.Size(); n = br.Buffered() + 1 {
-		if _, err := br.Peek(n); err != nil {
-			return 0, nil
-		}
-		b, err := br.Peek(br.Buffered())
-		if err != nil {
-			return 0, nil
-		}
-		if line, _, found := bytes.Cut(bytes.TrimLeft(b, "\r\n"), []byte("\n")); found {
-			return parseStatus(line)
-		}
+func parseStatusLine(line []byte) (int, error) {
+	if !httpguts.ValidHeaderFieldValue(string(line)) {
+		return 0, newHeaderLineError(line)
 	}
-	return 0, nil
-}
-
-func parseStatus(line []byte) (int, error) {
-	_, rest, _ := bytes.Cut(bytes.TrimRight(line, "\r"), []byte(" "))
+	_, rest, _ := bytes.Cut(line, []byte(" "))
 	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status := 0
 	for _, c := range text {
