Take a response of another version of HTTP for no response

What callers saw: a server answers with HTTP/1.0 and chunks. The caller gets 200 with the sizes of the chunks as part of the body, or a part of the body if there is a Content-Length beside it. HTTP/2.0 and HTTP/0.9 were read as HTTP/1. Found by trying what else the reader of headers tolerates; no incident.

Cause: fasthttp accepts any version and leaves Transfer-Encoding out unless it is 1.1. The client of backend servers did not look at the version.

TestValidStatus shows that HTTP/1.0 and HTTP/1.2 without a transfer coding are still read.

--- a/internal/request/forward/noresponse_test.go
+++ b/internal/request/forward/noresponse_test.go
@@ -29,6 +29,14 @@
 	}
 }
 
+// TestVersionThatIsNone guards against a response that reaches a caller though it is none of HTTP/1, or has chunks that its
+// version does not know.
+func TestVersionThatIsNone(t *testing.T) {
+	for _, start := range []string{"HTTP/2.0 200 OK\r\n", "HTTP/0.9 200 OK\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"} {
+		checkNoResponse(t, start+"X-Request: ID\r\nX-Signature: s\r\n")
+	}
+}
+
 // checkNoResponse answers with a header that is none of HTTP. A server may have run the request, so it is only repeated
 // where its route allows that, and is not refused as one that did not run.
 func checkNoResponse(t *testing.T, header string) {
--- a/pkg/request/attempt/status.go
+++ b/pkg/request/attempt/status.go
@@ -20,10 +20,10 @@
 const maxStatusBytes = 32
 
 func parseStatusLine(line []byte) (int, error) {
-	if !httpguts.ValidHeaderFieldValue(string(line)) {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	if !bytes.HasPrefix(version, []byte("HTTP/1.")) || !httpguts.ValidHeaderFieldValue(string(line)) {
 		return 0, newHeaderLineError(line)
 	}
-	_, rest, _ := bytes.Cut(line, []byte(" "))
 	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status := 0
 	for _, c := range text {
--- a/pkg/request/attempt/status_test.go
+++ b/pkg/request/attempt/status_test.go
@@ -44,9 +44,22 @@
 	}
 }
 
+// TestInvalidVersion guards against a response of another version of HTTP that is read as one of 1.1, and against chunks in
+// a response of HTTP/1.0, which knows none: their sizes reached callers as part of the body.
+func TestInvalidVersion(t *testing.T) {
+	for _, line := range []string{"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/9.1 200 OK", "HTTP/1.x 200 OK", "HTTP/1 200 OK", "HTTP/11 200 OK", "http/1.1 200 OK", "ICY 200 OK"} {
+		checkRejected(t, line, line+"\r\nContent-Length: 2\r\n\r\nok", false)
+	}
+	for _, field := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "Transfer-Encoding: identity", "Content-Length: 3\r\nTransfer-Encoding: chunked"} {
+		for _, stream := range []bool{false, true} {
+			checkRejected(t, field, "HTTP/1.0 200 OK\r\n"+field+"\r\n\r\n2\r\nok\r\n0\r\n\r\n", stream)
+		}
+	}
+}
+
 // TestValidStatus reads status lines in pieces of each length.
 func TestValidStatus(t *testing.T) {
-	for line, want := range map[string]int{"HTTP/1.1 200 OK": 200, "HTTP/1.1 599 Own": 599, "HTTP/1.1 204": 204, "HTTP/1.0 404 No": 404, "\r\nHTTP/1.1 301 000": 301} {
+	for line, want := range map[string]int{"HTTP/1.1 200 OK": 200, "HTTP/1.1 599 Own": 599, "HTTP/1.1 204": 204, "HTTP/1.2 200 OK": 200, "HTTP/1.0 404 No": 404, "\r\nHTTP/1.1 301 000": 301} {
 		for piece := 1; piece < 8; piece++ {
 			text := "HTTP/1.1 103 Early Hints\r\n\r\n" + line + "\r\nContent-Length: 0\r\n\r\n"
 			res := &fasthttp.Response{}
