Refuse answers to orders that have invalid names in their header

What users saw: an answer to an order or to a usage report, over the product's own interface, with "X A: b", "X-A : b", "Content Length: 9" or "Transfer-Encoding : chunked" in its header counts as 200: the order as carried out, the window of usage as reported.

Change: readAnswer refuses an answer with a name that is no token; the order is sent again as after any failure. Other control bytes were refused before. Calls between processes of the service and of operators use net/http as well; who answers them is no backend server, and they are unchanged.

--- a/pkg/process/control/order.go
+++ b/pkg/process/control/order.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Headers of an order. The platform, and the engines that check fencing tokens, refuse an
@@ -30,6 +32,13 @@
 	return fmt.Sprintf("order refused by %s with status %d", e.URL, e.Status)
 }
 
+// FieldNameError reports an answer to an order with a field whose name is no token (RFC 9110, section 5.1).
+type FieldNameError struct{ Name string }
+
+func (e *FieldNameError) Error() string {
+	return fmt.Sprintf("answer has a field with the invalid name %q", e.Name)
+}
+
 // NoLeaseError reports an order that was not sent because the lease has ended or ends too
 // soon.
 type NoLeaseError struct{ Remaining time.Duration }
@@ -59,13 +68,24 @@
 	if err != nil {
 		return nil, err
 	}
+	return readAnswer(res)
+}
+
+// readAnswer reads the answer to an order. The client tolerates names of fields with blanks; such an answer
+// may have another length than it seems.
+func readAnswer(res *http.Response) ([]byte, error) {
 	defer res.Body.Close()
+	for name := range res.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return nil, &FieldNameError{Name: name}
+		}
+	}
 	answer, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
 	if err != nil {
 		return nil, err
 	}
 	if res.StatusCode != http.StatusOK {
-		return answer, &RefusedOrderError{URL: url, Status: res.StatusCode}
+		return answer, &RefusedOrderError{URL: res.Request.URL.String(), Status: res.StatusCode}
 	}
 	return answer, nil
 }
--- a/pkg/process/control/order_test.go
+++ b/pkg/process/control/order_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -77,3 +80,33 @@
 		})
 	}
 }
+
+// TestInvalidAnswerToAnOrder guards against an answer that counts though the name of a field is none: an order as
+// carried out, a usage report as received.
+func TestInvalidAnswerToAnOrder(t *testing.T) {
+	for _, c := range []struct {
+		line string
+		ok   bool
+	}{
+		{"X-A: b", true}, {"x-a: b c", true},
+		{"X A: b", false}, {"X-A : b", false}, {"X-A\x00: b", false}, {"X-\tA: b", false}, {": b", false}, {"Content Length: 9", false}, {"Transfer-Encoding : chunked", false},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.line+"\r\nContent-Length: 11\r\n\r\n{\"short\":3}")
+		}))
+		var answer []byte
+		res, err := server.Client().Post(server.URL, "application/json", nil)
+		if err == nil {
+			answer, err = readAnswer(res)
+		}
+		if ok := err == nil && string(answer) == `{"short":3}`; ok != c.ok {
+			t.Errorf("%q: answer %q, error %v, want ok %v", c.line, answer, err, c.ok)
+		}
+		server.Close()
+	}
+}
