--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(s *site, trouble bool) error{
 	"11": replacedThenDiskLost,
 	"12": routeNamesMove,
+	"13": slowWorkerKeepsAlive,
 }
 
 func main() {
--- a/review/rig3/standin.go
+++ b/review/rig3/standin.go
@@ -36,11 +36,15 @@
 	stop    chan struct{}
 	// onRun is called when a request begins to run.
 	onRun func(id string, r *http.Request)
+	// slow is by how much events take longer, 1 if they do not.
+	slow float64
+	// keepAlive is the time without an event after which the stream gets a comment line, zero for never.
+	keepAlive time.Duration
 }
 
 func (s *site) newWorker(id, service, model string, zone, n int) (*worker, error) {
 	w := &worker{rec: s.rec, id: id, service: service, model: model, zone: zoneNames[zone], slots: 12, born: time.Now().UnixMilli(),
-		events: 6, pause: 20 * time.Millisecond, work: 25 * time.Millisecond, state: "ready", version: 1, stop: make(chan struct{})}
+		events: 6, pause: 20 * time.Millisecond, work: 25 * time.Millisecond, state: "ready", version: 1, slow: 1, stop: make(chan struct{})}
 	lis, err := net.Listen("tcp4", fmt.Sprintf("%s.%d:0", s.prefix, 110+zone*8+n))
 	if err != nil {
 		return nil, err
@@ -172,16 +176,38 @@
 	rw.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := from + 1; n <= w.events; n++ {
-		select {
-		case <-r.Context().Done():
+		if !w.awaitEvent(rw, r) {
 			return
-		case <-time.After(w.pause):
 		}
 		_, _ = fmt.Fprintf(rw, "id: %d\ndata: event %d of %s\n\n", n, n, id)
 		rw.(http.Flusher).Flush()
 	}
 }
 
+// awaitEvent waits until the next event of a stream is made. Meanwhile it keeps the stream alive with comments, as
+// text/event-stream has them. It returns false if the caller has left.
+func (w *worker) awaitEvent(rw http.ResponseWriter, r *http.Request) bool {
+	w.mu.Lock()
+	due, keepAlive := time.Now().Add(time.Duration(float64(w.pause)*w.slow)), w.keepAlive
+	w.mu.Unlock()
+	for {
+		left := time.Until(due)
+		if keepAlive > 0 {
+			left = min(left, keepAlive)
+		}
+		select {
+		case <-r.Context().Done():
+			return false
+		case <-time.After(left):
+		}
+		if !time.Now().Before(due) {
+			return true
+		}
+		_, _ = io.WriteString(rw, ": keep-alive\n\n")
+		rw.(http.Flusher).Flush()
+	}
+}
+
 // startCloud starts the stand-in of the platform, which takes usage reports.
 func (s *site) startCloud() error {
 	lis, err := net.Listen("tcp4", s.prefix+".200:0")
