--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -43,13 +43,17 @@
 	return res.StatusCode, answer
 }
 
-// operate sends an order of the operator to one control host after the other until it gets a 2xx, for at most d.
+// operate sends an order of the operator to one control host after the other until it gets a 2xx, for at most d. It
+// returns the last answer.
 func (s *site) operate(method, path string, body any, d time.Duration) (status int, answer []byte) {
 	hosts := s.of("core")
 	for i, end := 0, time.Now().Add(d); time.Now().Before(end); i++ {
 		h := hosts[i%len(hosts)]
-		status, answer = call(method, fmt.Sprintf("http://%s:%d%s", h.ip, portControl, path), body, time.Second)
-		if status >= 200 && status < 300 {
+		got, data := call(method, fmt.Sprintf("http://%s:%d%s", h.ip, portControl, path), body, time.Second)
+		if got != 0 {
+			status, answer = got, data
+		}
+		if got >= 200 && got < 300 {
 			s.rec.add("order", "path", path, "host", h.name, "status", status)
 			return status, answer
 		}
@@ -114,8 +118,8 @@
 	}
 	var all []item
 	for i := range items {
-		all = append(all, item{fmt.Sprintf("%s-%03d", id, i), "/pufi791/3/91c4", map[string]string{"Plantainbank-Model": model,
-			"Plantainbank-Token-Usage": "271,400"}, base64.StdEncoding.EncodeToString([]byte(strings.Repeat("q", 600))), 671, fmt.Sprintf("g%d", i/4)})
+		h := map[string]string{"Plantainbank-Model": model, "Plantainbank-Token-Usage": "271,400"}
+		all = append(all, item{fmt.Sprintf("%s-%03d", id, i), "/pufi791/3/91c4", h, base64.StdEncoding.EncodeToString([]byte(strings.Repeat("q", 600))), 671, fmt.Sprintf("g%d", i/4)})
 	}
 	body, err := json.Marshal(map[string]any{"step": 0, "model": model, "min_version": 1, "target_groups": items / 4, "requests": all})
 	if err != nil {
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -24,6 +24,8 @@
 	"11": replacedThenDiskLost,
 	"12": routeNamesMove,
 	"13": slowWorkerKeepsAlive,
+	"14": greyWorkerFails,
+	"15": coreReplacedThenDiskLost,
 }
 
 func main() {
--- a/review/rig3/names.go
+++ b/review/rig3/names.go
@@ -106,3 +106,10 @@
 	}
 	return nil
 }
+
+func (l *runLog) has(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.runs[id]
+	return ok
+}
--- a/review/rig3/replaced.go
+++ b/review/rig3/replaced.go
@@ -121,38 +121,92 @@
 			old = h
 		}
 	}
+	gone, err := s.replacePlanned(old, 2)
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Until(gone.Add(afterRemoval - time.Second)))
+	if err := s.submitOpen(); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(gone.Add(afterRemoval)))
+	return s.loseDisk(lead)
+}
+
+// replacePlanned starts a new host in the zone of an old one, stops the old one once its successor has run for
+// catch_up_s, and returns when it has ended. n is the number of the new host in its zone.
+func (s *site) replacePlanned(old *host, n int) (gone time.Time, err error) {
 	zone := 0
 	for i, z := range zoneNames {
 		if z == old.zone {
 			zone = i
 		}
 	}
-	successor := s.addHost("storage", zone, 2)
-	if err := s.start(successor, false); err != nil {
-		return err
+	if err := s.start(s.addHost(old.class, zone, n), false); err != nil {
+		return gone, err
 	}
 	time.Sleep(successorAhead)
 	s.signal(old, syscall.SIGTERM)
 	if !old.await(8 * time.Second) {
-		return errors.New("the replaced host has not stopped")
+		return gone, errors.New("the replaced host has not stopped")
 	}
-	gone := time.Now()
+	gone = time.Now()
 	s.rec.add("removed", "host", old.name)
-	if err := s.wipe(old); err != nil {
+	return gone, s.wipe(old)
+}
+
+// loseDisk kills the process of a host, and starts it a second later with an empty data folder.
+func (s *site) loseDisk(h *host) error {
+	s.signal(h, syscall.SIGKILL)
+	if !h.await(5 * time.Second) {
+		return errors.New("the killed host has not ended")
+	}
+	if err := s.wipe(h); err != nil {
 		return err
 	}
-	time.Sleep(time.Until(gone.Add(afterRemoval - time.Second)))
-	if err := s.submitOpen(); err != nil {
+	time.Sleep(time.Second)
+	return s.start(h, false)
+}
+
+// coreReplacedThenDiskLost does the same to the core: a host that stores the configuration is replaced as planned, and
+// the one that acknowledges changes loses its disk.
+func coreReplacedThenDiskLost(s *site, trouble bool) error {
+	if _, err := s.begin(2, 0); err != nil {
 		return err
 	}
-	time.Sleep(time.Until(gone.Add(afterRemoval)))
-	s.signal(lead, syscall.SIGKILL)
-	if !lead.await(5 * time.Second) {
-		return errors.New("the killed host has not ended")
+	time.Sleep(contact)
+	if trouble {
+		lead := s.controlLeader()
+		var old *host
+		for _, z := range zoneNames {
+			if h := s.hosts["core-"+z+"-1"]; h != lead { // the seeds store the configuration
+				old = h
+			}
+		}
+		if lead == nil || old == nil {
+			return errors.New("no core host leads")
+		}
+		gone, err := s.replacePlanned(old, 3)
+		if err != nil {
+			return err
+		}
+		time.Sleep(time.Until(gone.Add(afterRemoval - 500*time.Millisecond)))
+		if status, _ := s.operate(http.MethodPost, "/v1/config/put", config(2), 3*time.Second); status != http.StatusOK {
+			return errors.New("the second configuration was not accepted")
+		}
+		time.Sleep(time.Until(gone.Add(afterRemoval)))
+		if err := s.loseDisk(lead); err != nil {
+			return err
+		}
+	} else if status, _ := s.operate(http.MethodPost, "/v1/config/put", config(2), 3*time.Second); status != http.StatusOK {
+		return errors.New("the second configuration was not accepted")
 	}
-	if err := s.wipe(lead); err != nil {
-		return err
+	time.Sleep(recovery)
+	read, answer := s.operate(http.MethodGet, "/v1/config/get", nil, 15*time.Second)
+	put, _ := s.operate(http.MethodPost, "/v1/config/put", config(3), 15*time.Second)
+	if read != http.StatusOK || put != http.StatusOK {
+		return fmt.Errorf("%w: CONFIG: the configuration that was acknowledged does not come (status %d), and a new one gets no ack (status %d)", errBroken, read, put)
 	}
-	time.Sleep(time.Second)
-	return s.start(lead, false)
+	s.rec.add("configuration read back", "bytes", len(answer))
+	return nil
 }
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -254,20 +254,27 @@
 func (b *logBuffer) count(text string) int { return strings.Count(string(b.bytes()), text) }
 
 // storeLeader returns the storage host that has last said that it drives the batches.
-func (s *site) storeLeader() *host {
-	var lead *host
+func (s *site) storeLeader() *host { return s.lastToSay("storage", "driving batches") }
+
+// controlLeader returns the core host that has last said that it leads.
+func (s *site) controlLeader() *host { return s.lastToSay("core", "leadership established") }
+
+// lastToSay returns the host of a class whose log has the latest line with a message.
+func (s *site) lastToSay(class, message string) *host {
+	var last *host
 	latest := ""
-	for _, h := range s.of("storage") {
+	for _, h := range s.of(class) {
 		if h.log == nil {
 			continue
 		}
 		for _, line := range strings.Split(string(h.log.bytes()), "\n") {
-			if i := strings.Index(line, `"time":"`); strings.Contains(line, `"msg":"driving batches"`) && i >= 0 && line[i:] > latest {
-				latest, lead = line[i:], h
+			i := strings.Index(line, `"time":"`)
+			if i >= 0 && strings.Contains(line, `"msg":"`+message+`"`) && line[i:] > latest {
+				latest, last = line[i:], h
 			}
 		}
 	}
-	return lead
+	return last
 }
 
 // record is the file that says what was sent, answered and run.
--- a/review/rig3/standin.go
+++ b/review/rig3/standin.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -40,6 +41,9 @@
 	slow float64
 	// keepAlive is the time without an event after which the stream gets a comment line, zero for never.
 	keepAlive time.Duration
+	// fails is the part of its plain requests after which the worker fails with failStatus, once they have run.
+	fails      float64
+	failStatus int
 }
 
 func (s *site) newWorker(id, service, model string, zone, n int) (*worker, error) {
@@ -153,6 +157,12 @@
 		return
 	}
 	w.mu.Lock()
+	if want := r.Header.Get("Plantainbank-Expect-Version"); w.model != "" && want != "" && want != strconv.FormatUint(w.version, 10) {
+		w.mu.Unlock()
+		rw.Header().Set("Plantainbank-Not-Executed", "1")
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if w.running >= w.slots {
 		w.mu.Unlock()
 		rw.Header().Set("Plantainbank-Not-Executed", "1")
@@ -169,6 +179,10 @@
 	rw.Header().Set("Plantainbank-Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")
 	if w.model == "" {
 		time.Sleep(w.work)
+		if rand.Float64() < w.fails {
+			rw.WriteHeader(w.failStatus)
+			return
+		}
 		_, _ = fmt.Fprintf(rw, "%s %s %s", r.Method, r.URL.Path, body)
 		return
 	}
