--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -250,9 +250,6 @@
 	return bytes.Clone(b.buf.Bytes())
 }
 
-// count returns the number of lines with a text.
-func (b *logBuffer) count(text string) int { return strings.Count(string(b.bytes()), text) }
-
 // storeLeader returns the storage host that has last said that it drives the batches.
 func (s *site) storeLeader() *host { return s.lastToSay("storage", "driving batches") }
 
--- a/review/rig3/standin.go
+++ b/review/rig3/standin.go
@@ -65,11 +65,6 @@
 	return w, nil
 }
 
-func (w *worker) close() {
-	close(w.stop)
-	w.srv.Close()
-}
-
 // announce sends a heartbeat about every 1.2 s, to the next control host after one that has not answered.
 func (w *worker) announce(s *site) {
 	next := 0
