--- a/review/rig3/grey.go
+++ b/review/rig3/grey.go
@@ -34,7 +34,7 @@
 	runs := &runLog{runs: map[string]time.Time{}}
 	for i, w := range workers[2:] {
 		w.mu.Lock()
-		w.onRun = runs.add(s.rec, w.id)
+		w.onRun = runs.add(s.rec, w)
 		if trouble && i == 0 {
 			w.fails, w.failStatus = greyPart, http.StatusServiceUnavailable
 		}
