--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # root, after the build of deploy/system.toml. It needs no network.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/rig3 ./review/rig3
+go build -o target/rig3 ./review/third/platform
--- a/review/rig3/main.go
+++ b/review/third/platform/main.go
@@ -1,4 +1,4 @@
-// Command rig3 plays the scripts of the third review: it starts the project's processes with the commands of
+// Command platform, built as rig3, plays the scripts of the third review: it starts the project's processes with the commands of
 // the deploy file, on loopback addresses, beside stand-ins of workers, consumers, the operator and the platform.
 package main
 
