Say why a group has no leader

What callers saw: after a voter had been stopped and the leader's disk was lost, 503 to every call, for good. Cause of the silence: nothing in logs or metrics told a group whose majority is lost for good from one that waits for a partition to heal, or from a host that does not reach control. A voter that knows no leader for 3 s asks the others which disk they have, and logs every 5 s how many are present, replaced and silent, and whether a majority can come back. Gauge voters_lost.

No behaviour of the group changes.

--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -127,7 +127,7 @@
 		started: time.Now(), changed: make(chan struct{})}
 	r, err := replica.New(replica.Config{
 		Dir: cfg.Site.DataDir, Self: cfg.Site.InternalAddr(), Replicas: cfg.Site.Replicas(), Files: cfg.Files, Timing: cfg.Timing,
-		Client: cfg.Client, Log: cfg.Log,
+		Client: cfg.Client, Log: cfg.Log, Scope: cfg.Scope,
 		Apply:   s.apply,
 		Save:    func() []byte { return s.catalog.Save() },
 		Restore: s.restore,
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -71,7 +71,7 @@
 	s.driver = newDriver(s)
 	r, err := replica.New(replica.Config{
 		Dir: cfg.Site.DataDir, Self: cfg.Site.InternalAddr(), Replicas: cfg.Site.Replicas(), Files: cfg.Files, Timing: cfg.Timing,
-		Client: cfg.Client, Log: cfg.Log,
+		Client: cfg.Client, Log: cfg.Log, Scope: cfg.Scope,
 		Apply:   s.apply,
 		Save:    func() []byte { return s.batches.Save() },
 		Restore: s.restore,
--- a/pkg/process/replica/replica.go
+++ b/pkg/process/replica/replica.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/plantainbank/plantainbank/pkg/process/clock"
@@ -46,6 +47,8 @@
 	Timing   quorum.Timing
 	Client   *http.Client
 	Log      *logrus.Entry
+	// Scope receives the metrics; nil for none.
+	Scope tally.Scope
 	// Apply, Save and Restore are the state machine; see quorum.Config.
 	Apply   func(index uint64, data []byte) any
 	Save    func() []byte
@@ -78,6 +81,9 @@
 
 // New opens the data directory. Close releases it.
 func New(cfg Config) (*Replica, error) {
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
 	d, saved, err := openDisk(cfg)
 	if err != nil {
 		return nil, err
@@ -168,6 +174,7 @@
 	defer context.AfterFunc(ctx, func() { r.stopping.Store(true) })()
 	g.Go(func() error { return r.node.Run(ctx) })
 	g.Go(func() error { r.maintainMembership(ctx); return nil })
+	g.Go(func() error { r.watchMajority(ctx); return nil })
 	return g.Wait()
 }
 
