Hand a vote over before its process ends

Cause: a voter that had been stopped counted as healthy for 4 s; only then was the successor added, promoted, and the old voter removed, in steps of 250 ms. Until then two of three voters lived and one more loss left no majority. A process that got SIGTERM told nobody.

Change: the group keeps a host without a vote as a learner that has caught up. A process that gets SIGTERM calls Leave at the leader until it is no voter, then ends: at once if no host can take over, and within 0.7 of the grace period. A voter that is silent for 3 s, before 4 s, is replaced by the learner; steps follow each other at once; only a learner that answered within 1 s is promoted. Zones are evened out afterwards. Why it works: at each step of a hand-over the loss of f voters leaves a majority (TestStopsLeaveAMajority), and the host that leaves is there until its vote has moved.

TestReplacedHostThenLostDisk failed in 37 rows with the plan of before and holds. TestKilledHostThenLostDiskAtOnce fails in 6 of 6 rows and is listed in KNOWN-RED.txt: an end without a signal, the successor first, and a loss within 2 s.

--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -109,6 +109,10 @@
 // SetSeeds replaces the seed addresses after the settings have changed.
 func (s *Server) SetSeeds(seeds []string) { s.feed.SetSeeds(seeds) }
 
+// Leave hands the vote of this process over to another host before it stops, while Run still serves. ctx bounds
+// the wait.
+func (s *Server) Leave(ctx context.Context) { s.replica.Leave(ctx) }
+
 // Run serves until ctx ends or the disk fails.
 func (s *Server) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/pkg/process/control/transport.go
+++ b/pkg/process/control/transport.go
@@ -48,3 +48,9 @@
 	st := p.s.node.Status()
 	return &peer.Identity{Id: uint64(st.ID), Empty: len(st.Members) == 0 && p.s.startedEmpty, Addr: p.s.cfg.Listen}, nil
 }
+
+// Leave is answered without delay: operators choose the replicas of this group, none takes over
+// by itself.
+func (p *peerService) Leave(context.Context, *peer.Identity) (*peer.Handover, error) {
+	return &peer.Handover{}, nil
+}
--- a/pkg/process/replica/cluster_test.go
+++ b/pkg/process/replica/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -46,13 +47,35 @@
 	handler atomic.Pointer[http.Handler]
 	replica atomic.Pointer[Replica]
 	stop    func()
-	mu      sync.Mutex
-	state   []byte
+	dir     string
+	// down is since when the process does not run, in Unix nanoseconds; zero while it runs.
+	down atomic.Int64
+	// cut is true while the host reaches no other and none reaches it.
+	cut   atomic.Bool
+	mu    sync.Mutex
+	state []byte
+}
+
+// RoundTrip sends the calls of the host.
+func (h *replicaHost) RoundTrip(r *http.Request) (*http.Response, error) {
+	if h.cut.Load() {
+		return nil, errors.New("the host is cut off")
+	}
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+func (h *replicaHost) serve(w http.ResponseWriter, r *http.Request) {
+	if h.cut.Load() || h.down.Load() != 0 {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	(*h.handler.Load()).ServeHTTP(w, r)
 }
 
 // cluster is a group of replicas on loopback addresses. Its state is the concatenation of
 // all proposals.
 type cluster struct {
+	mu       sync.Mutex
 	hosts    []*replicaHost
 	replicas int
 	// files returns the file operations of a host.
@@ -69,10 +92,7 @@
 	t.Helper()
 	c := &cluster{replicas: replicas, files: files}
 	for range n {
-		h := &replicaHost{}
-		h.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*h.handler.Load()).ServeHTTP(w, r) }))
-		t.Cleanup(h.server.Close)
-		c.hosts = append(c.hosts, h)
+		c.newHost(t)
 	}
 	var members quorum.Members
 	for i, h := range c.hosts {
@@ -86,12 +106,25 @@
 	}
 	t.Cleanup(func() {
 		for _, h := range c.hosts {
-			h.stop()
+			if h.down.Load() == 0 {
+				h.stop()
+			}
 		}
 	})
 	return c
 }
 
+func (c *cluster) newHost(t *testing.T) *replicaHost {
+	t.Helper()
+	h := &replicaHost{}
+	h.server = httptest.NewServer(http.HandlerFunc(h.serve))
+	t.Cleanup(h.server.Close)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts = append(c.hosts, h)
+	return h
+}
+
 func (h *replicaHost) addr() string { return h.server.Listener.Addr().String() }
 
 // leader returns the number of the host that leads.
@@ -106,6 +139,20 @@
 
 // start starts a replica with an empty disk on a host.
 func (c *cluster) start(t *testing.T, i int) {
+	t.Helper()
+	c.hosts[i].dir = dataDir(t)
+	c.restart(t, i)
+}
+
+// kill stops the replica of a host at once.
+func (c *cluster) kill(i int) {
+	h := c.hosts[i]
+	h.down.Store(time.Now().UnixNano())
+	h.stop()
+}
+
+// restart starts a replica on a host with the disk that it has.
+func (c *cluster) restart(t *testing.T, i int) {
 	t.Helper()
 	h := c.hosts[i]
 	log := logrus.New()
@@ -113,8 +160,8 @@
 	h.mu.Lock()
 	h.state = nil
 	h.mu.Unlock()
-	r, err := New(Config{Dir: dataDir(t), Self: h.addr(), Replicas: c.replicas, Files: c.files(i),
-		Timing: quorum.DefaultTiming(), Client: &http.Client{Transport: &http.Transport{}}, Log: logrus.NewEntry(log),
+	r, err := New(Config{Dir: h.dir, Self: h.addr(), Replicas: c.replicas, Files: c.files(i),
+		Timing: quorum.DefaultTiming(), Client: &http.Client{Transport: h}, Log: logrus.NewEntry(log),
 		Apply: func(_ uint64, data []byte) any {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -134,6 +181,7 @@
 	h.replica.Store(r)
 	handler := http.Handler(peer.NewPeerServer(r.Service()))
 	h.handler.Store(&handler)
+	h.down.Store(0)
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
 	go func() { stopped <- r.Run(ctx) }()
@@ -171,9 +219,19 @@
 
 // listHosts returns the hosts for Plan.
 func (c *cluster) listHosts() []Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var out []Host
 	for _, h := range c.hosts {
-		out = append(out, Host{Name: h.addr(), Zone: h.addr(), Addr: h.addr(), Disk: h.replica.Load().Disk(), LastContact: time.Now()})
+		r := h.replica.Load()
+		if r == nil || h.cut.Load() {
+			continue // not started yet, or not known to control
+		}
+		contact := time.Now()
+		if down := h.down.Load(); down != 0 {
+			contact = time.Unix(0, down)
+		}
+		out = append(out, Host{Name: h.addr(), Zone: h.addr(), Addr: h.addr(), Disk: r.Disk(), LastContact: contact})
 	}
 	return out
 }
--- a/pkg/process/replica/replica.go
+++ b/pkg/process/replica/replica.go
@@ -77,6 +77,10 @@
 	empty    bool
 	// stopping is set when Run ends. It stops the retries on a full disk.
 	stopping atomic.Bool
+	// departures contains the replicas that are about to stop, this one among them.
+	departures departures
+	// replan makes the leader check at once whether the membership must change.
+	replan chan struct{}
 }
 
 // New opens the data directory. Close releases it.
@@ -88,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{cfg: cfg, disk: d, peers: NewTransport(cfg.Client, "http://", cfg.Self, cfg.Timing.Election)}
+	r := &Replica{cfg: cfg, disk: d, replan: make(chan struct{}, 1), peers: NewTransport(cfg.Client, "http://", cfg.Self, cfg.Timing.Election)}
 	persisted, err := DecodeSaved(saved)
 	if err != nil {
 		d.Close()
@@ -224,17 +228,27 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-r.replan:
 		}
-		if _, _, ok := r.node.HoldsLease(); ok {
-			r.changeMembership(ctx)
+		for r.changeMembership(ctx) {
 		}
 	}
 }
 
-func (r *Replica) changeMembership(ctx context.Context) {
-	c := Plan(r.node.Status(), r.cfg.Hosts(), r.cfg.Replicas, time.Now())
+// view returns the input of a plan.
+func (r *Replica) view() View {
+	now := time.Now()
+	return View{Status: r.node.Status(), Hosts: r.cfg.Hosts(), Stopping: r.departures.at(now), Replicas: r.cfg.Replicas, Now: now}
+}
+
+// changeMembership makes the change that the plan names and reports whether it is done.
+func (r *Replica) changeMembership(ctx context.Context) bool {
+	if _, _, ok := r.node.HoldsLease(); !ok {
+		return false
+	}
+	c := Plan(r.view())
 	if c.Action == None {
-		return
+		return false
 	}
 	log := r.cfg.Log.WithFields(logrus.Fields{"action": string(c.Action), "addr": c.Member.Addr, "reason": c.Reason,
 		"replica": uint64(c.Member.ID)})
@@ -242,9 +256,10 @@
 	defer cancel()
 	if err := r.node.ChangeMembers(ctx, c.Apply); err != nil {
 		log.WithError(err).Warn("membership change did not finish")
-		return
+		return false
 	}
 	log.Info("membership changed")
+	return true
 }
 
 // Service returns the service that the other replicas call.
