Look items up by host and path, not by the name of their route

If all routes have one name or none, no step is accepted.

Cause: findRoute took the route with the name of the batch's route if only its host was the same; host and path came second. Texts and results were carried to later batches by the name too, and the check of a configuration paired routes by it.

The prefix of the route is stored with a batch, for items whose path lies elsewhere. Results are carried by workspace, host, model and the item itself. Why it works: host and prefix are unique in a valid configuration.

--- a/internal/process/store/checkpoint.go
+++ b/internal/process/store/checkpoint.go
@@ -33,8 +33,8 @@
 	events, pieces int
 }
 
-// partialKey identifies an item across the batches of a workspace.
-type partialKey struct{ workspace, route, model, item string }
+// partialKey identifies an item across the batches of a workspace, beside its fingerprint.
+type partialKey struct{ workspace, host, model, item string }
 
 // partial is the progress of an item that was not complete when its batch ended.
 type partial struct {
@@ -49,7 +49,7 @@
 func newPartials() *partials { return &partials{map[partialKey]partial{}} }
 
 func keyOf(b *batch.Batch, item string) partialKey {
-	return partialKey{b.Workspace, b.Route, b.Model, item}
+	return partialKey{b.Workspace, b.Host, b.Model, item}
 }
 
 // put stores the progress of an item, if there is any.
--- a/internal/process/store/dispatch.go
+++ b/internal/process/store/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,8 +63,8 @@
 	software string
 }
 
-// routeOf returns the route of an item, or nil: the one of its batch, or the one that has its host and
-// path now, since a configuration may give a route another name. The caller holds d.mu.
+// routeOf returns the route of an item in the configuration that is in force, or nil if there is
+// none. The caller holds d.mu.
 func (d *driver) routeOf(w *pendingItem) *routing.Route {
 	if d.state.Table == nil {
 		return nil
@@ -75,11 +76,18 @@
 	return w.route
 }
 
+// findRoute looks an item up as a request to the host of its batch: a name may belong to another
+// route by now, to several or to none. An item whose path does not begin with the prefix under which its batch
+// was submitted goes with that prefix.
 func (d *driver) findRoute(w *pendingItem) *routing.Route {
-	if r := d.state.Table.RouteByName(w.batch.Route); r != nil && (r.Host == w.batch.Host || w.batch.Host == "") {
-		return r
+	b := w.batch
+	switch {
+	case b.Host == "" && b.Prefix == "":
+		return d.state.Table.RouteByName(b.Route) // of a version that stored no hosts
+	case strings.HasPrefix(w.item.Path, b.Prefix):
+		return d.state.Table.Route(b.Host, w.item.Path)
 	}
-	return d.state.Table.Route(w.batch.Host, w.item.Path)
+	return d.state.Table.Route(b.Host, b.Prefix)
 }
 
 // startRun runs an item if an engine has a free slot for it. The caller holds d.mu.
--- a/internal/request/batch/batch.go
+++ b/internal/request/batch/batch.go
@@ -20,9 +20,12 @@
 // Batch is a set of items to run asynchronously, and their results.
 type Batch struct {
 	ID string `json:"id"`
-	// Route is the name of the route at submission, Host the host of that route.
+	// Route is the name of the route at submission, for logs only: configurations move, repeat
+	// and leave out names. Host and Prefix are those of that route. Prefix is empty in batches of
+	// earlier versions.
 	Route     string `json:"route"`
 	Host      string `json:"host"`
+	Prefix    string `json:"prefix,omitempty"`
 	Workspace string `json:"workspace,omitempty"`
 	// Submitted is the submission time in Unix milliseconds, by the clock of the process
 	// that stored the batch.
--- a/internal/request/batch/batch_test.go
+++ b/internal/request/batch/batch_test.go
@@ -43,6 +43,7 @@
 	for name, c := range map[string]*Command{
 		"batch id":        {Accept: &Batch{ID: bad}},
 		"route":           {Accept: &Batch{ID: "b", Route: bad}},
+		"prefix":          {Accept: &Batch{ID: "b", Prefix: bad}},
 		"host":            {Accept: &Batch{ID: "b", Host: bad}},
 		"workspace":       {Accept: &Batch{ID: "b", Workspace: bad}},
 		"model":           {Accept: &Batch{ID: "b", Model: bad}},
--- a/internal/request/batch/encoding.go
+++ b/internal/request/batch/encoding.go
@@ -94,7 +94,7 @@
 }
 
 func (b *Batch) toProto() *batchlog.Batch {
-	w := &batchlog.Batch{Id: b.ID, Route: b.Route, Host: b.Host, Workspace: b.Workspace, Submitted: b.Submitted, Due: b.Due,
+	w := &batchlog.Batch{Id: b.ID, Route: b.Route, Host: b.Host, Prefix: b.Prefix, Workspace: b.Workspace, Submitted: b.Submitted, Due: b.Due,
 		Expiry: b.Expiry, Step: int64(b.Step), Model: b.Model, Minversion: b.MinVersion, Target: int64(b.TargetGroups), Ended: b.Ended,
 		Results: resultsToProto(b.Results)}
 	for _, x := range b.Items {
@@ -106,7 +106,7 @@
 }
 
 func fromProto(w *batchlog.Batch) *Batch {
-	b := &Batch{ID: w.Id, Route: w.Route, Host: w.Host, Workspace: w.Workspace, Submitted: w.Submitted, Due: w.Due,
+	b := &Batch{ID: w.Id, Route: w.Route, Host: w.Host, Prefix: w.Prefix, Workspace: w.Workspace, Submitted: w.Submitted, Due: w.Due,
 		Expiry: w.Expiry, Step: int(w.Step), Model: w.Model, MinVersion: w.Minversion, TargetGroups: int(w.Target), Ended: w.Ended,
 		Results: resultsFromProto(w.Results), Items: make([]Item, 0, len(w.Items))}
 	for _, x := range w.Items {
--- a/internal/request/batch/partial.go
+++ b/internal/request/batch/partial.go
@@ -93,13 +93,13 @@
 }
 
 // ReuseResults copies results and partial results of earlier batches of the same
-// workspace, route and model into a batch that is being submitted, where its minimum
+// workspace, host and model into a batch that is being submitted, where its minimum
 // version allows them. A trainer submits incomplete groups again under the same item IDs.
-// Items match if their IDs and fingerprints are equal.
+// Items match if their IDs and fingerprints, which include their paths, are equal.
 func (s *Store) ReuseResults(b *Batch) {
 	reused := map[string]bool{}
 	for _, p := range s.all {
-		if p.Workspace != b.Workspace || p.Route != b.Route || p.Model != b.Model || p.ID == b.ID {
+		if p.Workspace != b.Workspace || p.Host != b.Host || p.Model != b.Model || p.ID == b.ID {
 			continue
 		}
 		for i := range b.Items {
--- a/internal/request/batch/partial_test.go
+++ b/internal/request/batch/partial_test.go
@@ -96,6 +96,8 @@
 		{"much newer weights required", 5, func(*Batch) {}, nil, nil},
 		{"another workspace", 3, func(b *Batch) { b.Workspace = "other" }, nil, nil},
 		{"another model", 3, func(b *Batch) { b.Model = "other" }, nil, nil},
+		{"the route has another name", 3, func(b *Batch) { b.Route = "renamed" }, []string{"x-0"}, []string{"x-1"}},
+		{"another host", 3, func(b *Batch) { b.Host = "other" }, nil, nil},
 		{"another prompt", 3, func(b *Batch) { b.Items[0].Body, b.Items[1].Path = []byte("other"), "/other" }, nil, nil},
 		{"another header", 3, func(b *Batch) { b.Items[0].Headers = map[string]string{"n": "2"} }, nil, []string{"x-1"}},
 	} {
--- a/internal/version/review/difference.go
+++ b/internal/version/review/difference.go
@@ -25,34 +25,51 @@
 // whole is the value of an added or removed entry.
 const whole = "present"
 
-// Changes returns what differs between two configurations, apart from the version. Entries are
-// identified by name, unnamed routes by host and prefix; their order has no meaning to requests.
+// Changes returns what differs between two configurations, apart from the version. Routes are
+// identified by host and prefix, which are unique, other entries by name; their order has no meaning to requests.
 func Changes(before, after *routing.Config) []Change {
-	out := diff("routes", before.Routes, after.Routes, func(r routing.Route) string {
-		if r.Name == "" {
-			return r.Host + r.Prefix
+	out := diff("routes", before.Routes, after.Routes, routeKey, routeLabels(before, after))
+	service := func(s routing.Service) string { return s.Name }
+	out = append(out, diff("services", before.Services, after.Services, service, service)...)
+	workspace := func(w routing.Workspace) string { return w.Name }
+	out = append(out, diff("workspaces", before.Workspaces, after.Workspaces, workspace, workspace)...)
+	return append(out, fields("limits", "", reflect.ValueOf(before.Limits), reflect.ValueOf(after.Limits))...)
+}
+
+func routeKey(r routing.Route) string { return r.Host + r.Prefix }
+
+// routeLabels returns how the routes of two configurations are called: by their name if it is that of one
+// route only, else by host and prefix.
+func routeLabels(before, after *routing.Config) func(routing.Route) string {
+	keys := map[string]map[string]bool{"": {}}
+	for _, r := range slices.Concat(before.Routes, after.Routes) {
+		if keys[r.Name] == nil {
+			keys[r.Name] = map[string]bool{}
+		}
+		keys[r.Name][routeKey(r)] = true
+	}
+	return func(r routing.Route) string {
+		if r.Name == "" || len(keys[r.Name]) > 1 {
+			return routeKey(r)
 		}
 		return r.Name
-	})
-	out = append(out, diff("services", before.Services, after.Services, func(s routing.Service) string { return s.Name })...)
-	out = append(out, diff("workspaces", before.Workspaces, after.Workspaces, func(w routing.Workspace) string { return w.Name })...)
-	return append(out, fields("limits", "", reflect.ValueOf(before.Limits), reflect.ValueOf(after.Limits))...)
+	}
 }
 
-// diff compares the entries of two lists. Entries of the same name are paired in their order.
-func diff[T any](section string, before, after []T, name func(T) string) (out []Change) {
+// diff compares the entries of two lists. Entries of the same key are paired in their order.
+func diff[T any](section string, before, after []T, key, label func(T) string) (out []Change) {
 	rest := slices.Clone(before)
 	for _, a := range after {
-		i := slices.IndexFunc(rest, func(b T) bool { return name(b) == name(a) })
+		i := slices.IndexFunc(rest, func(b T) bool { return key(b) == key(a) })
 		if i < 0 {
-			out = append(out, Change{Section: section, Entry: name(a), After: whole})
+			out = append(out, Change{Section: section, Entry: label(a), After: whole})
 			continue
 		}
-		out = append(out, fields(section, name(a), reflect.ValueOf(rest[i]), reflect.ValueOf(a))...)
+		out = append(out, fields(section, label(a), reflect.ValueOf(rest[i]), reflect.ValueOf(a))...)
 		rest = slices.Delete(rest, i, i+1)
 	}
 	for _, b := range rest {
-		out = append(out, Change{Section: section, Entry: name(b), Before: whole})
+		out = append(out, Change{Section: section, Entry: label(b), Before: whole})
 	}
 	return out
 }
--- a/internal/version/review/reachability.go
+++ b/internal/version/review/reachability.go
@@ -34,9 +34,8 @@
 		if len(r.cfg.Workspaces) > 0 && !keys && !x.Public {
 			r.add(Unreachable, x.Name, field+".public", "is false and no workspace has a key: every request is refused")
 		}
-		// Items of batches find their route by its name and host.
-		if first, ok := names[x.Name]; ok && x.Kind == routing.Batch && x.Host == r.cfg.Routes[first].Host {
-			r.add(Ambiguous, x.Name, field+".name", "is also the name of routes[%d]: items of batches use that one", first)
+		if first, ok := names[x.Name]; ok && x.Name != "" {
+			r.add(Ambiguous, x.Name, field+".name", "is also the name of routes[%d]: logs do not tell them apart", first)
 		} else if !ok {
 			names[x.Name] = i
 		}
--- a/internal/version/review/review_test.go
+++ b/internal/version/review/review_test.go
@@ -38,7 +38,8 @@
 		{"", func(c *routing.Config, _ *Site) { c.Routes[0].Kind, c.Routes[0].MaxAttempts = routing.Once, 0 }},
 		{"", func(c *routing.Config, _ *Site) { c.Workspaces, c.Routes[0].Public = nil, true }},
 		{"", func(c *routing.Config, _ *Site) { c.Routes[0].Prefix = "/" }},
-		{"", func(c *routing.Config, _ *Site) { c.Routes[1].Name, c.Routes[1].Host = "plain", "other" }},
+		{"ambiguous routes[1].name", func(c *routing.Config, _ *Site) { c.Routes[1].Name, c.Routes[1].Host = "plain", "other" }},
+		{"", func(c *routing.Config, _ *Site) { c.Routes[0].Name, c.Routes[1].Name = "", "" }},
 		{"", func(c *routing.Config, _ *Site) { c.Routes[0].Prefix = "/steps/longer/" }},
 		{"invalid routes[0].timeout", func(c *routing.Config, _ *Site) { c.Routes[0].Timeout = 0 }},
 		{"unreachable routes[0].host", func(c *routing.Config, _ *Site) { c.Routes[0].Host = "H" }},
@@ -106,3 +107,33 @@
 		t.Errorf("changes under a higher version: %v", f)
 	}
 }
+
+// TestChangesOfMovedNames guards against changes that pair routes by names which belong to other routes by now.
+func TestChangesOfMovedNames(t *testing.T) {
+	plain := func(prefix string) routing.Route {
+		return routing.Route{Host: "h", Prefix: prefix, Timeout: time.Second, Targets: []routing.Target{{Service: "a", Weight: 1}}}
+	}
+	config := func(names []string, prefixes ...string) *routing.Config {
+		c := &routing.Config{Services: []routing.Service{{Name: "a"}}}
+		for i, p := range prefixes {
+			r := plain(p)
+			r.Name = names[i]
+			c.Routes = append(c.Routes, r)
+		}
+		return c
+	}
+	for _, c := range []struct {
+		name          string
+		before, after *routing.Config
+		want          string
+	}{
+		{"by position, the first one removed", config([]string{"r-1", "r-2"}, "/x/", "/y/"), config([]string{"r-1"}, "/y/"), "[{routes h/y/ name r-2 r-1} {routes h/x/  present }]"},
+		{"one name for all", config([]string{"r", "r"}, "/x/", "/y/"), config([]string{"r", "r"}, "/x/", "/z/"), "[{routes h/z/   present} {routes h/y/  present }]"},
+		{"no names", config([]string{"", ""}, "/x/", "/y/"), config([]string{""}, "/y/"), "[{routes h/x/  present }]"},
+		{"renamed", config([]string{"r"}, "/x/"), config([]string{"s"}, "/x/"), "[{routes s name r s}]"},
+	} {
+		if got := fmt.Sprint(Changes(c.before, c.after)); got != c.want {
+			t.Errorf("%s: got %s, want %s", c.name, got, c.want)
+		}
+	}
+}
