Count the silence of a leader that has ended from its last message

Cause: a new leader counted each voter as heard at its election. The one that had ended, which led to the election, so counted as healthy for 1 to 1.5 s longer than another voter would.

Change: the new leader takes the time of the last message from the leader before for its last contact, unless it has led itself since. Why it works: that message is the last that anybody has heard from it.

--- a/pkg/process/quorum/core.go
+++ b/pkg/process/quorum/core.go
@@ -100,6 +100,8 @@
 	// Votes are refused for Timing.Election after it; the safety of the lease depends on
 	// this.
 	lastLeaderContact time.Time
+	// lastLeader is the leader that sent that message, zero after this replica has led itself.
+	lastLeader NodeID
 	// votes contains the replicas that granted their vote or pre-vote to this candidate.
 	votes map[NodeID]bool
 	// peers and round are valid on the leader only; round is the latest heartbeat round.
--- a/pkg/process/quorum/election.go
+++ b/pkg/process/quorum/election.go
@@ -115,6 +115,10 @@
 	c.roundSentAt = map[uint64]time.Time{}
 	c.peers = map[NodeID]*progress{}
 	c.syncPeers(now)
+	if p := c.peers[c.lastLeader]; p != nil {
+		p.lastContact = c.lastLeaderContact // it may have ended, which led to the election
+	}
+	c.lastLeader = 0
 	c.termStart = c.log.lastIndex() + 1
 	c.append(Entry{Index: c.termStart, Term: c.hard.Term, Kind: EntryNoop})
 	c.broadcast(now)
--- a/pkg/process/quorum/node.go
+++ b/pkg/process/quorum/node.go
@@ -82,7 +82,7 @@
 	Match map[NodeID]uint64
 	// LastContact is the time of each peer's latest answer, on the leader only. For a
 	// peer that has not answered yet, it is the time at which it became a peer of this
-	// leader.
+	// leader, and for the leader before that of its latest message.
 	LastContact map[NodeID]time.Time
 }
 
--- a/pkg/process/quorum/replicate.go
+++ b/pkg/process/quorum/replicate.go
@@ -17,7 +17,7 @@
 	// zero.
 	snapshotRound uint64
 	// lastContact is the arrival time of the peer's latest answer, or the time at which it
-	// became a peer of this leader.
+	// became a peer of this leader. For the leader before it is the time of its latest message.
 	lastContact time.Time
 }
 
@@ -132,7 +132,7 @@
 func (c *Core) followLeader(m Message, now time.Time) {
 	c.becomeFollower(m.Term, m.From, now)
 	c.survey.over = true
-	c.lastLeaderContact = now
+	c.lastLeaderContact, c.lastLeader = now, m.From
 	c.resetElectionTimer(now)
 }
 
--- a/pkg/process/quorum/vote_test.go
+++ b/pkg/process/quorum/vote_test.go
@@ -132,3 +132,28 @@
 		t.Fatal("accepted while the first change is not committed")
 	}
 }
+
+// TestSilenceOfTheLeaderBeforeCounts guards against a leader that has ended and counts as healthy for as long as the
+// election took, and longer.
+func TestSilenceOfTheLeaderBeforeCounts(t *testing.T) {
+	withGroup(t, 3, func(g *group) {
+		g.runFor(3 * time.Second)
+		old := g.mustLeader()
+		g.replicas[old].up = false
+		ended := g.now
+		g.runFor(3 * time.Second)
+		next := g.mustLeader()
+		if next == old {
+			g.t.Fatal("the leader that ended leads")
+		}
+		peers := g.replicas[next].core.peers
+		if contact := peers[old].lastContact; contact.After(ended) {
+			g.t.Fatalf("the leader that ended counts as heard %v after its end", contact.Sub(ended))
+		}
+		for id, p := range peers {
+			if id != old && p.lastContact.Before(ended) {
+				g.t.Fatalf("replica %d counts as silent since before the end of the leader", id)
+			}
+		}
+	})
+}
