Wait for a successor that restores a large state

What callers would see: a host with a store of 80 MB is stopped just after its successor has come, and goes without handing over its vote; the next lost disk ends the group.

Evidence: with the race detector the host left after 1.86 s and still voted.

Tests: TestCanHandOver.

--- a/pkg/process/replica/plan.go
+++ b/pkg/process/replica/plan.go
@@ -133,7 +133,8 @@
 		return true
 	}
 	for _, m := range v.Status.Members {
-		if m.Learner && p.fault(m, contactTimeout) == "" {
+		// A learner that restores a large state does not answer meanwhile.
+		if m.Learner && p.fault(m, learnerTimeout) == "" {
 			return true
 		}
 	}
--- a/pkg/process/replica/plan_test.go
+++ b/pkg/process/replica/plan_test.go
@@ -212,3 +212,33 @@
 		}
 	}
 }
+
+// TestCanHandOver guards against a voter that stops without handing over its vote, or waits for a host that there is not.
+func TestCanHandOver(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(g *planInput)
+		want   bool
+	}{
+		{"no other host", func(*planInput) {}, false},
+		{"a spare learner", func(g *planInput) { g.addSpare(9, "b", "b2") }, true},
+		{"a learner that restores a large state", func(g *planInput) {
+			g.addSpare(9, "b", "b2")
+			g.lastContact[9], g.match[9] = now.Add(-4*time.Second), 0
+		}, true},
+		{"a learner that is down", func(g *planInput) { g.addSpare(9, "b", "b2"); g.lastContact[9] = now.Add(-time.Minute) }, false},
+		{"a learner that stops too", func(g *planInput) { g.addSpare(9, "b", "b2"); g.stop(9) }, false},
+		{"a host that is not a member yet", func(g *planInput) { g.addHost(9, "b", "b2") }, true},
+		{"a host that is to be drained", func(g *planInput) { g.addHost(9, "b", "b2"); g.hosts[3].Leaving = true }, false},
+		{"enough other voters", func(g *planInput) { g.addVoter(9, "b2") }, true},
+		{"not a voter", func(g *planInput) { g.members = g.members.Without(2); g.addHost(9, "b", "b2") }, false},
+	} {
+		g := threeVoters()
+		g.stop(2)
+		c.change(g)
+		st := quorum.Status{ID: 1, Role: quorum.Leader, LastIndex: 100, Members: g.members, LastContact: g.lastContact, Match: g.match}
+		if got := CanHandOver(View{Status: st, Hosts: g.hosts, Stopping: g.stopping, Replicas: 3, Now: now}, 2); got != c.want {
+			t.Errorf("%s: got %v", c.name, got)
+		}
+	}
+}
