Withhold statuses that promise "not run" from callers of requests that ran

Cause: a refusal was known by the header and by 421 only, and every other response went to the caller unchanged. Evidence: in the record each second run follows a 503 with the stamp of the first worker.

Change: 408, 429 and 503 of a server that has not stated "not run" become 502 without its stamp for requests that must not be repeated, also through another entry host.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -345,7 +345,7 @@
 		s.lastFailure = &Response{Response: got.Response}
 		return nil, false
 	}
-	return &Response{Response: got.Response}, true
+	return f.withoutFalsePromise(s, got.Response), true
 }
 
 // attemptDeadline returns the deadline of the next attempt. The last attempt gets all the
--- a/internal/request/forward/refusal.go
+++ b/internal/request/forward/refusal.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
 )
 
 // retryAfterDelay is the Retry-After time of the response "not run". A server in cooldown
@@ -39,3 +42,25 @@
 	return &Response{Status: http.StatusTooManyRequests, RetryAfter: s.admission.RetryAfter,
 		Reason: fmt.Sprintf("quarantined: %d backend servers ended while they ran this request, fingerprint %s", s.admission.Ended, s.fingerprint())}
 }
+
+// promisesNotRun reports whether callers take a status for the promise that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// withoutFalsePromise returns the response of a server that has been sent the request, or 502 in its place if the
+// request must not be repeated and callers would repeat it: a server states that it has not run a request
+// only by the header for that, which handle has looked for.
+func (f *Forwarder) withoutFalsePromise(s *requestState, res *fasthttp.Response) *Response {
+	status := res.StatusCode()
+	if s.Idempotent() || !promisesNotRun(status) {
+		return &Response{Response: res}
+	}
+	f.cfg.Scope.Counter("promises_withheld").Inc(1)
+	f.cfg.Log.WithFields(logrus.Fields{"request": s.ID, "instance": s.lastServer, "status": status}).Info("response withheld, the server may have run the request")
+	return &Response{Status: http.StatusBadGateway, Reason: fmt.Sprintf("server responded with status %d and may have run the request", status)}
+}
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -111,6 +111,9 @@
 		return &Response{Response: got.Response, Stream: x}, true
 	}
 	cancel()
+	if len(got.Response.Header.Peek(f.cfg.Headers.Signature)) > 0 {
+		return f.withoutFalsePromise(s, got.Response), true // hosts of an earlier version pass all responses on
+	}
 	return &Response{Response: got.Response}, true
 }
 
