Read only what stays of an item when counting the work of a batch

What callers would see: nothing so far. The driver of a store leader copied whole items of a batch that was accepted, while the end of the batch released their data on the control goroutine: a data race.

Change: only the length estimates are read, which an end does not write.

--- a/internal/process/store/work.go
+++ b/internal/process/store/work.go
@@ -34,8 +34,9 @@
 		return
 	}
 	tokens := 0.0
-	for _, item := range b.Items {
-		tokens += float64(item.LengthHint + promptTokens)
+	for i := range b.Items {
+		// Other fields of an item may be released at the same time, when the batch ends.
+		tokens += float64(b.Items[i].LengthHint + promptTokens)
 	}
 	e, known := x[b.Model]
 	if !known {
